--- /dev/null
+++ b/benchmark/src/main/kotlin/org/anvilshed/benchmark/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.anvilshed.benchmark
+
+internal const val PLACEHOLDER: Int = 0
--- /dev/null
+++ b/cli/src/main/kotlin/org/anvilshed/cli/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.anvilshed.cli
+
+internal const val PLACEHOLDER: Int = 0
--- /dev/null
+++ b/core/src/main/kotlin/org/anvilshed/core/bundle/Bundle.kt
@@ -0,0 +1,122 @@
+package org.anvilshed.core.bundle
+
+import org.anvilshed.core.Incarnation
+import org.anvilshed.core.KindName
+import org.anvilshed.core.RegionName
+import org.anvilshed.core.ServiceName
+import org.anvilshed.core.TargetName
+import org.anvilshed.core.VmName
+import org.anvilshed.core.ZoneName
+import kotlin.time.Duration
+import kotlin.time.Instant
+
+/**
+ * Steering intent of the operators: a valid document, every reference of which resolves.
+ *
+ * @property version rises with each bundle; a VM never goes back to a lower one.
+ * @property lookupTimeToLive how long a caller may use the answer of a look-up.
+ * @property seats number of seats into which the limits of each zone and each region are divided.
+ * @property isolationLimit how long a VM that is cut off may go on using its seats.
+ * @property revokedKeys names of operators whose signatures no longer count.
+ */
+public data class Bundle(
+    public val version: Long,
+    public val comment: String,
+    public val lookupTimeToLive: Duration,
+    public val seats: Int,
+    public val isolationLimit: Duration,
+    public val revokedKeys: Set<String>,
+    public val regions: Map<RegionName, Region>,
+    public val zones: Map<ZoneName, Zone>,
+    public val links: Map<LinkKey, Link>,
+    public val services: Map<ServiceName, Service>,
+    public val targets: Map<TargetName, Target>,
+    public val moves: List<Move>,
+    public val clientBlocks: List<ClientBlock>,
+    public val retired: List<RetiredVm>,
+)
+
+/** A region and the number of requests per second that all its targets together may take. */
+public data class Region(public val name: RegionName, public val requestsPerSecond: Double)
+
+/** An availability zone of a region. */
+public data class Zone(public val name: ZoneName, public val region: RegionName)
+
+/** Direction of a link between two regions. */
+public data class LinkKey(public val from: RegionName, public val to: RegionName)
+
+/**
+ * Capacity of one direction of the link between two regions.
+ *
+ * @property usable fraction of [bitsPerSecond] that steered traffic may use, greater than 0 and at most 1.
+ */
+public data class Link(public val key: LinkKey, public val bitsPerSecond: Long, public val usable: Double)
+
+/**
+ * A service.
+ *
+ * @property shiftCap largest fraction of a VM's requests in any window that may be served outside of their region.
+ * @property shiftRamp largest increase of the fraction of a planned move per window.
+ * @property kinds kinds by name, in the order of the document; the first one is the default.
+ */
+public data class Service(
+    public val name: ServiceName,
+    public val maximumBodyBytes: Long,
+    public val shiftCap: Double,
+    public val shiftWindow: Duration,
+    public val shiftRamp: Double,
+    public val kinds: Map<KindName, Kind>,
+)
+
+/**
+ * A class of requests.
+ *
+ * @property worth relative value of a correct answer; decides who is refused under overload.
+ * @property deadline default time for the whole request.
+ * @property maximumDeadline longest deadline that a caller may ask for.
+ */
+public data class Kind(
+    public val name: KindName,
+    public val idempotent: Boolean,
+    public val worth: Double,
+    public val deadline: Duration,
+    public val maximumDeadline: Duration,
+)
+
+/** Whether the bundle wants a target to receive new work. */
+public enum class TargetIntent {
+    ACTIVE,
+    LEAVING,
+}
+
+/**
+ * A target of a service.
+ *
+ * @property slots number of requests that it may work on at a time.
+ * @property connections number of connections that it accepts.
+ * @property leavesAt planned time after which it receives no new work, if any.
+ */
+public data class Target(
+    public val name: TargetName,
+    public val service: ServiceName,
+    public val zone: ZoneName,
+    public val address: String,
+    public val slots: Int,
+    public val connections: Int,
+    public val intent: TargetIntent,
+    public val leavesAt: Instant?,
+)
+
+/** Planned move of a [fraction] of the requests of [service] that enter in region [from] to region [to]. */
+public data class Move(
+    public val service: ServiceName,
+    public val from: RegionName,
+    public val to: RegionName,
+    public val fraction: Double,
+)
+
+/** Preferred region of the callers whose addresses lie in [block], in CIDR notation. */
+public data class ClientBlock(public val block: String, public val region: RegionName)
+
+/** A process of an entry VM that the operators declare ended, so that its seats may be taken over. */
+public data class RetiredVm(public val vm: VmName, public val incarnation: Incarnation)
--- /dev/null
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.anvilshed.daemon
+
+internal const val PLACEHOLDER: Int = 0
--- /dev/null
+++ b/daemon/src/test/kotlin/org/anvilshed/daemon/PlaceholderTest.kt
@@ -0,0 +1,6 @@
+package org.anvilshed.daemon
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+
+class PlaceholderTest : FunSpec({ test("placeholder") { PLACEHOLDER shouldBe 0 } })
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/anvilshed/standins/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.anvilshed.standins
+
+internal const val PLACEHOLDER: Int = 0
