--- a/core/src/main/kotlin/org/anvilshed/core/bundle/Bundle.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/bundle/Bundle.kt
@@ -107,12 +107,17 @@
     public val leavesAt: Instant?,
 )
 
-/** Planned move of a [fraction] of the requests of [service] that enter in region [from] to region [to]. */
+/**
+ * Planned move of a [fraction] of the requests of [service] that enter in region [from] to region [to].
+ *
+ * @property startedAt time from which the fraction rises; `null` stands for the activation of the bundle.
+ */
 public data class Move(
     public val service: ServiceName,
     public val from: RegionName,
     public val to: RegionName,
     public val fraction: Double,
+    public val startedAt: Instant? = null,
 )
 
 /** Preferred region of the callers whose addresses lie in [block], in CIDR notation. */
--- /dev/null
+++ b/core/src/main/kotlin/org/anvilshed/core/bundle/BundleVerifier.kt
@@ -0,0 +1,69 @@
+package org.anvilshed.core.bundle
+
+import java.security.PublicKey
+
+/**
+ * Decides whether a bundle carries the valid signatures of two different operators.
+ *
+ * @param operators public keys of the operators by name.
+ * @param revoked names of operators whose signatures never count.
+ */
+public class BundleVerifier(private val operators: Map<String, PublicKey>, private val revoked: Set<String>) {
+    /**
+     * Verifies the signatures and the document of [signed].
+     *
+     * @param revokedInForce `revoked_keys` of the bundle in force; empty if there is none.
+     */
+    public fun verify(signed: SignedBundle, revokedInForce: Set<String> = emptySet()): VerificationResult {
+        val bundle = when (val submission = verifySubmission(signed, revokedInForce)) {
+            is SubmissionResult.Rejected -> return VerificationResult.Rejected(submission.reason, submission.message)
+            is SubmissionResult.Verified -> submission.bundle
+        }
+        val signOff = signed.signOff
+            ?: return VerificationResult.Rejected(BundleRejection.NOT_SIGNED_OFF, "no second operator has signed")
+        val fault = operatorFault(signOff.operator, revokedInForce)
+        if (fault != null) return VerificationResult.Rejected(fault.reason, fault.message)
+        val key = operators.getValue(signOff.operator)
+        // Two names with one key are one operator.
+        if (signOff.operator == signed.author || key == operators[signed.author]) {
+            return VerificationResult.Rejected(
+                BundleRejection.SAME_OPERATOR,
+                "${signOff.operator} is not another operator than the author ${signed.author}",
+            )
+        }
+        if (!isSignatureValid(signOffPayload(signed, signOff.activation), signOff.signature, key)) {
+            val message = "the signature does not match the key of ${signOff.operator}"
+            return VerificationResult.Rejected(BundleRejection.FORGED_SIGN_OFF, message)
+        }
+        return VerificationResult.Verified(VerifiedBundle(signed, bundle, signed.bytes.digest(), signOff.activation))
+    }
+
+    /** Verifies the author's signature and the document of [signed] and ignores the second signature. */
+    public fun verifySubmission(signed: SignedBundle, revokedInForce: Set<String> = emptySet()): SubmissionResult {
+        if (signed.bytes.size > MAXIMUM_BUNDLE_BYTES) {
+            return SubmissionResult.Rejected(BundleRejection.TOO_LARGE, "the bundle has ${signed.bytes.size} bytes")
+        }
+        operatorFault(signed.author, revokedInForce)?.let { return it }
+        val key = operators.getValue(signed.author)
+        if (!isSignatureValid(authorPayload(signed.bytes), signed.authorSignature, key)) {
+            val message = "the signature does not match the key of ${signed.author}"
+            return SubmissionResult.Rejected(BundleRejection.FORGED_AUTHOR_SIGNATURE, message)
+        }
+        return when (val parsed = parseBundle(signed.bytes.toByteArray().decodeToString())) {
+            is BundleParseResult.Valid -> SubmissionResult.Verified(parsed.bundle)
+
+            is BundleParseResult.Invalid ->
+                SubmissionResult.Rejected(BundleRejection.INVALID_DOCUMENT, parsed.faults.joinToString("; "))
+        }
+    }
+
+    private fun operatorFault(name: String, revokedInForce: Set<String>): SubmissionResult.Rejected? = when (name) {
+        !in operators ->
+            SubmissionResult.Rejected(BundleRejection.UNKNOWN_OPERATOR, "operator '$name' is not known")
+
+        in revoked, in revokedInForce ->
+            SubmissionResult.Rejected(BundleRejection.REVOKED_OPERATOR, "the key of operator $name is revoked")
+
+        else -> null
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/anvilshed/core/bundle/SubmissionResult.kt
@@ -0,0 +1,10 @@
+package org.anvilshed.core.bundle
+
+/** Result of [BundleVerifier.verifySubmission]. */
+public sealed interface SubmissionResult {
+    /** The author's signature and the document are valid. */
+    public data class Verified(public val bundle: Bundle) : SubmissionResult
+
+    /** The bundle may not be signed off. */
+    public data class Rejected(public val reason: BundleRejection, public val message: String) : SubmissionResult
+}
--- /dev/null
+++ b/wire/src/main/kotlin/org/anvilshed/wire/platform/PlatformChanges.kt
@@ -0,0 +1,15 @@
+package org.anvilshed.wire.platform
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Result of a watch.
+ *
+ * @property revision revision to continue from.
+ */
+@Serializable
+public data class PlatformChanges(public val revision: Long, public val events: List<PlatformEvent>)
+
+/** Change of the object under [key]. */
+@Serializable
+public data class PlatformEvent(public val key: String, public val version: Long, public val deleted: Boolean = false)
--- /dev/null
+++ b/wire/src/main/kotlin/org/anvilshed/wire/platform/PlatformResult.kt
@@ -0,0 +1,38 @@
+package org.anvilshed.wire.platform
+
+/** Result of one call of the platform. */
+public sealed interface PlatformResult<out T> {
+    /** The call succeeded. */
+    public data class Success<out T>(public val value: T) : PlatformResult<T>
+
+    /** A call that did not succeed. */
+    public sealed interface Failure : PlatformResult<Nothing>
+
+    /** There is no object under the key. */
+    public data object NotFound : Failure
+
+    /**
+     * The object has another version than expected, and nothing was written.
+     *
+     * @property currentVersion version found by the platform, 0 if there is no object, `null` if it was not told.
+     */
+    public data class VersionConflict(public val currentVersion: Long?) : Failure
+
+    /** The body is larger than 1 MiB, and nothing was written. */
+    public data object TooLarge : Failure
+
+    /** The rate limit was reached, and nothing was read or written. */
+    public data object RateLimited : Failure
+
+    /** The revision given to a watch is too old: list again. */
+    public data object RevisionTooOld : Failure
+
+    /** The platform cannot be reached or has an outage; a write did not take effect. */
+    public data class Unavailable(public val message: String) : Failure
+
+    /** The response to a write was lost: it may have taken effect. Read the object back. */
+    public data class OutcomeUncertain(public val message: String) : Failure
+}
+
+/** Returns the value of a successful call, otherwise `null`. */
+public fun <T> PlatformResult<T>.valueOrNull(): T? = (this as? PlatformResult.Success)?.value
