--- /dev/null
+++ b/core/src/test/kotlin/org/anvilshed/core/bundle/BundleStateTest.kt
@@ -0,0 +1,57 @@
+package org.anvilshed.core.bundle
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+
+private fun BundleState.after(signed: SignedBundle): BundleState = offer(signed, TestOperators.verifier).state
+
+private fun BundleState.rejection(signed: SignedBundle): BundleRejection =
+    offer(signed, TestOperators.verifier).outcome.shouldBeInstanceOf<BundleOutcome.Rejected>().reason
+
+class BundleStateTest :
+    FunSpec({
+        val twelve = TestOperators.signed(sampleDocument(version = 12))
+        val state = BundleState().after(twelve)
+
+        test("a process without a bundle takes any valid version") {
+            BundleState().version shouldBe 0
+            BundleState().offer(twelve, TestOperators.verifier).outcome
+                .shouldBeInstanceOf<BundleOutcome.CameIntoForce>().bundle.version shouldBe 12
+            state.version shouldBe 12
+        }
+
+        test("a stale read of an older version changes nothing") {
+            state.rejection(TestOperators.signed(sampleDocument(version = 11))) shouldBe BundleRejection.OLDER_VERSION
+            state.after(TestOperators.signed(sampleDocument(version = 11))).version shouldBe 12
+            state.after(TestOperators.signed(sampleDocument(version = 13))).version shouldBe 13
+        }
+
+        test("another digest under the version in force is counted, and the first one stays") {
+            val other = TestOperators.signed(sampleDocument(version = 12, comment = "other"))
+            val after = state.after(other).after(other)
+            after.inForce?.digest shouldBe twelve.bytes.digest()
+            after.rejections shouldBe mapOf(BundleRejection.OTHER_DIGEST to 2L)
+        }
+
+        test("the bundle in force offered again is no rejection") {
+            val decision = state.offer(twelve, TestOperators.verifier)
+            decision.outcome shouldBe BundleOutcome.AlreadyInForce
+            decision.state shouldBe state
+        }
+
+        test("a forged or single-signed higher version does not come into force") {
+            val higher = TestOperators.signed(sampleDocument(version = 13))
+            state.rejection(higher.copy(signOff = null)) shouldBe BundleRejection.NOT_SIGNED_OFF
+            state.rejection(higher.copy(bytes = TestOperators.signed(sampleDocument(version = 14)).bytes)) shouldBe
+                BundleRejection.FORGED_AUTHOR_SIGNATURE
+        }
+
+        test("a key that the bundle in force revokes no longer counts, while others do") {
+            val revoking = state.after(TestOperators.signed(sampleDocument(version = 13, revoked = listOf("brice"))))
+            revoking.version shouldBe 13
+            revoking.rejection(TestOperators.signed(sampleDocument(version = 14))) shouldBe
+                BundleRejection.REVOKED_OPERATOR
+            revoking.after(TestOperators.signed(sampleDocument(version = 14), second = "chedi")).version shouldBe 14
+        }
+    })
