--- /dev/null
+++ b/core/src/main/kotlin/org/anvilshed/core/membership/NeighborSelection.kt
@@ -0,0 +1,38 @@
+package org.anvilshed.core.membership
+
+import org.anvilshed.core.VmName
+import org.anvilshed.core.ZoneName
+
+/** Number of peers up to which a VM sends heartbeats to all of them. */
+public const val ALL_PEERS_LIMIT: Int = 8
+
+private const val LOCAL_NEIGHBORS = 6
+private const val WATCHERS_PER_ZONE = 2
+
+/**
+ * Returns the peers to which [self] sends heartbeats.
+ *
+ * These are all [contacts] while there are at most [ALL_PEERS_LIMIT], also those that are silent. Otherwise they are 6
+ * [candidates] of its own zone and 2 of other zones by rendezvous hashing; if the zone has fewer, other zones fill up.
+ *
+ * @param contacts all known peers, see [PeerView.contacts].
+ * @param candidates peers that may answer, see [PeerView.neighborCandidates].
+ */
+public fun selectNeighbors(
+    self: PeerContact,
+    contacts: Collection<PeerContact>,
+    candidates: Collection<PeerContact>,
+): List<PeerContact> {
+    if (contacts.size <= ALL_PEERS_LIMIT) return contacts.sortedBy { it.name }
+    val (local, remote) = candidates.filter { it.name != self.name }.partition { it.zone == self.zone }
+    val localChoice = selectHighest(self.name.value, local, LOCAL_NEIGHBORS) { it.name.value }
+    val remoteCount = ALL_PEERS_LIMIT - localChoice.size
+    return localChoice + selectHighest(self.name.value, remote, remoteCount) { it.name.value }
+}
+
+/**
+ * Returns the two VMs of [zone] that watch the platform, by rendezvous hashing over [live], which includes this VM if
+ * it is not leaving. While views of the zone differ, more VMs than two may watch.
+ */
+public fun selectWatchers(zone: ZoneName, live: Collection<VmName>): List<VmName> =
+    selectHighest(zone.value, live.toSet(), WATCHERS_PER_ZONE) { it.value }
--- /dev/null
+++ b/core/src/main/kotlin/org/anvilshed/core/membership/RendezvousHash.kt
@@ -0,0 +1,27 @@
+package org.anvilshed.core.membership
+
+private const val FNV_OFFSET_BASIS = -3750763034362895579L
+private const val FNV_PRIME = 1099511628211L
+private const val MIX_FACTOR_1 = -49064778989728563L
+private const val MIX_FACTOR_2 = -4265267296055464877L
+
+/**
+ * Score of [candidate] for [key] in rendezvous hashing: the candidates with the highest scores are chosen. Every
+ * process computes the same score, and the removal of one candidate changes the choice only where it was chosen.
+ */
+internal fun rendezvousScore(key: String, candidate: String): Long {
+    var hash = FNV_OFFSET_BASIS
+    // The separator keeps ("ab", "c") and ("a", "bc") apart; names contain no slash.
+    for (character in "$key/$candidate") hash = (hash xor character.code.toLong()) * FNV_PRIME
+    // FNV alone leaves the scores of names that differ in the last character in order, so the bits are mixed.
+    hash = (hash xor (hash ushr 33)) * MIX_FACTOR_1
+    hash = (hash xor (hash ushr 33)) * MIX_FACTOR_2
+    return hash xor (hash ushr 33)
+}
+
+/** Returns the [count] candidates with the highest scores for [key], the highest first. */
+internal fun <T> selectHighest(key: String, candidates: Collection<T>, count: Int, name: (T) -> String): List<T> =
+    candidates.map { rendezvousScore(key, name(it)) to it }
+        .sortedWith(compareByDescending<Pair<Long, T>> { it.first }.thenBy { name(it.second) })
+        .take(count)
+        .map { it.second }
--- a/wire/src/main/kotlin/org/anvilshed/wire/platform/PlatformResult.kt
+++ b/wire/src/main/kotlin/org/anvilshed/wire/platform/PlatformResult.kt
@@ -27,6 +27,9 @@
     /** The revision given to a watch is too old: list again. */
     public data object RevisionTooOld : Failure
 
+    /** The object has an unexpected content. */
+    public data class Malformed(public val message: String) : Failure
+
     /** The platform cannot be reached or has an outage; a write did not take effect. */
     public data class Unavailable(public val message: String) : Failure
 
--- /dev/null
+++ b/wire/src/main/kotlin/org/anvilshed/wire/platform/SignOffResult.kt
@@ -0,0 +1,19 @@
+package org.anvilshed.wire.platform
+
+import org.anvilshed.core.bundle.BundleDigest
+
+/** Result of [BundleProcedures.signOff]; see also [ProcedureFailure]. */
+public sealed interface SignOffResult {
+    /** The bundle is signed off and `bundles/current` names it. */
+    public data class SignedOff(public val version: Long, public val digest: BundleDigest) : SignOffResult
+
+    /** [winner] signed the same bundle off before. `bundles/current` names it or a higher version. */
+    public data class AlreadySignedOff(
+        public val version: Long,
+        public val digest: BundleDigest,
+        public val winner: String,
+    ) : SignOffResult
+
+    /** The bundle is signed off, but a higher [currentVersion] overtook it, so that it will not come into force. */
+    public data class Superseded(public val version: Long, public val currentVersion: Long) : SignOffResult
+}
--- /dev/null
+++ b/wire/src/main/kotlin/org/anvilshed/wire/platform/SubmitResult.kt
@@ -0,0 +1,21 @@
+package org.anvilshed.wire.platform
+
+import org.anvilshed.core.bundle.BundleDigest
+
+/** Result of [BundleProcedures.submit]; see also [ProcedureFailure]. */
+public sealed interface SubmitResult {
+    /** The bundle is stored and waits for the sign-off by another operator. */
+    public data class Submitted(
+        public val version: Long,
+        public val digest: BundleDigest,
+        public val submissionId: String,
+    ) : SubmitResult
+
+    /** [winner] submitted a bundle under the same version before. */
+    public data class VersionTaken(
+        public val version: Long,
+        public val winner: String,
+        public val winnerDigest: BundleDigest,
+        public val winnerSubmissionId: String,
+    ) : SubmitResult
+}
