--- /dev/null
+++ b/wire/src/test/kotlin/org/anvilshed/wire/platform/VertxPlatformClientTest.kt
@@ -0,0 +1,130 @@
+package org.anvilshed.wire.platform
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.kotlin.coroutines.coAwait
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class VertxPlatformClientTest :
+    FunSpec({
+        val vertx = Vertx.vertx()
+        val requests = CopyOnWriteArrayList<String>()
+        lateinit var respond: (HttpServerRequest) -> Unit
+
+        val server = vertx.createHttpServer().requestHandler { request ->
+            val headers = listOf("Client-Name", "If-Version").mapNotNull { request.getHeader(it) }
+            requests += (listOf(request.method().name(), request.uri()) + headers).joinToString(" ")
+            respond(request)
+        }
+
+        suspend fun client(timeout: Duration = 30.seconds): VertxPlatformClient {
+            if (server.actualPort() <= 0) server.listen(0, "127.0.0.1").coAwait()
+            return VertxPlatformClient(vertx, "http://127.0.0.1:${server.actualPort()}/", "vm-1", timeout)
+        }
+
+        fun status(code: Int, version: String? = null, body: String = ""): (HttpServerRequest) -> Unit = { request ->
+            val response = request.response().setStatusCode(code)
+            if (version != null) response.putHeader("Object-Version", version)
+            response.end(body)
+        }
+
+        beforeTest { requests.clear() }
+
+        afterSpec {
+            server.close().coAwait()
+            vertx.close().coAwait()
+        }
+
+        test("a read returns the bytes and the version, and each call names the client") {
+            respond = status(200, "7", "text")
+            val found = client().get(
+                "bundles/current",
+            ).shouldBeInstanceOf<PlatformResult.Success<PlatformObject>>().value
+            found.version shouldBe 7
+            found.body.decodeToString() shouldBe "text"
+            requests.single() shouldBe "GET /v1/objects/bundles/current vm-1"
+        }
+
+        test("a write and a delete carry the expected version") {
+            respond = status(200, "8")
+            client().put("a/b", "x".toByteArray(), expectedVersion = 0) shouldBe PlatformResult.Success(8L)
+            client().delete("a/b", expectedVersion = 8) shouldBe PlatformResult.Success(Unit)
+            requests.toList() shouldBe listOf("PUT /v1/objects/a/b vm-1 0", "DELETE /v1/objects/a/b vm-1 8")
+        }
+
+        test("each status has its own result") {
+            val expected = mapOf(
+                404 to PlatformResult.NotFound,
+                409 to PlatformResult.VersionConflict(9),
+                410 to PlatformResult.RevisionTooOld,
+                413 to PlatformResult.TooLarge,
+                429 to PlatformResult.RateLimited,
+            )
+            for ((code, result) in expected) {
+                respond = status(code, "9")
+                client().put("a", ByteArray(0), expectedVersion = 1) shouldBe result
+            }
+            respond = status(409)
+            client().put("a", ByteArray(0), expectedVersion = 1) shouldBe PlatformResult.VersionConflict(null)
+            respond = status(503)
+            client().put("a", ByteArray(0), expectedVersion = 1).shouldBeInstanceOf<PlatformResult.Unavailable>()
+        }
+
+        test("a write is uncertain when its answer is lost, late, malformed or an unexpected status") {
+            val answers = listOf<(HttpServerRequest) -> Unit>(
+                { it.connection().close() },
+                { },
+                status(200),
+                status(500, "3"),
+            )
+            for (answer in answers) {
+                respond = answer
+                val timeout = if (answer === answers[1]) 200.milliseconds else 30.seconds
+                requests.clear()
+                client(timeout).put("a", ByteArray(0), expectedVersion = 1)
+                    .shouldBeInstanceOf<PlatformResult.OutcomeUncertain>()
+                // A hidden second attempt could write twice.
+                requests.size shouldBe 1
+            }
+        }
+
+        test("a read never is uncertain, and a refused connection wrote nothing") {
+            respond = { it.connection().close() }
+            client().get("a").shouldBeInstanceOf<PlatformResult.Unavailable>()
+            respond = status(200)
+            client().get("a").shouldBeInstanceOf<PlatformResult.Unavailable>()
+            val closed = vertx.createHttpServer().requestHandler { }.listen(0, "127.0.0.1").coAwait()
+            val port = closed.actualPort()
+            closed.close().coAwait()
+            VertxPlatformClient(vertx, "http://127.0.0.1:$port", "vm-1", 30.seconds).put("a", ByteArray(0), 0)
+                .shouldBeInstanceOf<PlatformResult.Unavailable>()
+        }
+
+        test("listings, watches and the VM list are decoded, with unknown fields ignored") {
+            respond = status(200, body = """{"revision":5,"objects":[{"key":"seats/zone/a","version":4}],"more":1}""")
+            client().list("seats/") shouldBe
+                PlatformResult.Success(PlatformListing(5, listOf(PlatformEntry("seats/zone/a", 4))))
+            respond = status(200, body = """{"revision":6,"events":[{"key":"k","version":6,"deleted":true}]}""")
+            client().watch("bundles/", after = 5, timeout = 2.seconds) shouldBe
+                PlatformResult.Success(PlatformChanges(6, listOf(PlatformEvent("k", 6, deleted = true))))
+            respond = status(
+                200,
+                body = """{"vms":[{"name":"a","role":"entry","zone":"z","address":"127.0.0.1:1","state":"leaving"}]}""",
+            )
+            val vm = PlatformVm("a", PlatformVmRole.ENTRY, "z", "127.0.0.1:1", PlatformVmState.LEAVING)
+            client().listVms() shouldBe PlatformResult.Success(listOf(vm))
+            requests.toList() shouldBe listOf(
+                "GET /v1/objects?prefix=seats%2F vm-1",
+                "GET /v1/watch?prefix=bundles%2F&after=5&timeout_ms=2000 vm-1",
+                "GET /v1/vms vm-1",
+            )
+            respond = status(200, body = "{")
+            client().list("seats/").shouldBeInstanceOf<PlatformResult.Unavailable>()
+        }
+    })
