Add the client block table

Cause: lookups prefer the region of the caller's address block, up to 1.7 million blocks. Ruled out: flattened ranges plus a prefix store (about 67 MB for IPv6 keys), a path-compressed trie of objects (over 80 MB). Change: sorted chunks of at most 512 prefixes with parent links; a change copies one chunk.

--- /dev/null
+++ b/core/src/main/kotlin/org/anvilshed/core/lookup/PrefixTable.kt
@@ -0,0 +1,149 @@
+package org.anvilshed.core.lookup
+
+import java.util.concurrent.atomic.AtomicReferenceArray
+
+/**
+ * Longest-prefix table from 64-bit keys to small non-negative values.
+ *
+ * The prefixes are kept in sorted chunks of at most [MAXIMUM_CHUNK_SIZE]. A lookup takes no lock. A change replaces the
+ * one chunk that holds the prefix, and the covers of the chunks inside the prefix; the directory of chunks is copied
+ * only when a chunk is split. Readers see each chunk before or after the change, never in between.
+ */
+internal class PrefixTable(entries: List<PrefixEntry>) {
+    private class Directory(val firstKeys: LongArray, val chunks: AtomicReferenceArray<PrefixChunk>) {
+        fun indexFor(key: Long): Int {
+            var low = 1
+            var high = firstKeys.size - 1
+            while (low <= high) {
+                val middle = (low + high) ushr 1
+                if (java.lang.Long.compareUnsigned(firstKeys[middle], key) <= 0) low = middle + 1 else high = middle - 1
+            }
+            return high
+        }
+    }
+
+    private val changes = Any()
+
+    @Volatile
+    private var directory: Directory = buildDirectory(entries.sorted())
+
+    /** Returns the value of the longest prefix that contains [key], or [NO_VALUE]. */
+    fun find(key: Long): Int {
+        val current = directory
+        return current.chunks.get(current.indexFor(key)).find(key)
+    }
+
+    /** Adds [entry], or replaces the value of the equal prefix. */
+    fun put(entry: PrefixEntry) {
+        synchronized(changes) {
+            val index = directory.indexFor(entry.key)
+            val chunk = directory.chunks.get(index)
+            val position = chunk.entries().binarySearch(entry)
+            val entries = chunk.entries().toMutableList()
+            if (position >= 0) entries[position] = entry else entries.add(-position - 1, entry)
+            replaceChunk(index, entries, chunk.covers)
+            changeCovers(index, entry) { covers ->
+                (covers.filterNot { it.samePrefix(entry) } + entry).sortedBy { it.length }
+            }
+        }
+    }
+
+    /** Removes the prefix of [entry] whatever its value; does nothing if it is absent. */
+    fun remove(entry: PrefixEntry) {
+        synchronized(changes) {
+            val index = directory.indexFor(entry.key)
+            val chunk = directory.chunks.get(index)
+            val entries = chunk.entries().filterNot { it.samePrefix(entry) }
+            if (entries.size == chunk.size) return
+            replaceChunk(index, entries, chunk.covers)
+            changeCovers(index, entry) { covers -> covers.filterNot { it.samePrefix(entry) } }
+        }
+    }
+
+    private fun replaceChunk(index: Int, entries: List<PrefixEntry>, covers: List<PrefixEntry>) {
+        if (entries.size <= MAXIMUM_CHUNK_SIZE) {
+            directory.chunks.set(index, PrefixChunk.of(entries, covers))
+            return
+        }
+        // Equal keys stay together: the search by key alone must end in the chunk that holds all prefixes of the key.
+        var middle = entries.size / 2
+        while (middle < entries.size && entries[middle].key == entries[middle - 1].key) middle++
+        val head = entries.subList(0, middle)
+        val tail = entries.subList(middle, entries.size)
+        directory = if (tail.isEmpty()) directory else directory.withSplit(index, head, tail, covers)
+        if (tail.isEmpty()) directory.chunks.set(index, PrefixChunk.of(entries, covers))
+    }
+
+    private fun Directory.withSplit(
+        index: Int,
+        head: List<PrefixEntry>,
+        tail: List<PrefixEntry>,
+        covers: List<PrefixEntry>,
+    ): Directory {
+        val tailKey = tail.first().key
+        val tailCovers = (covers + head).filter { it.contains(tailKey) }.sortedBy { it.length }
+        val newChunks = ArrayList<PrefixChunk>(chunks.length() + 1)
+        for (position in 0 until chunks.length()) {
+            if (position == index) {
+                newChunks += PrefixChunk.of(head, covers)
+                newChunks += PrefixChunk.of(tail, tailCovers)
+            } else {
+                newChunks += chunks.get(position)
+            }
+        }
+        val newKeys = LongArray(newChunks.size)
+        firstKeys.copyInto(newKeys, 0, 0, index + 1)
+        newKeys[index + 1] = tailKey
+        firstKeys.copyInto(newKeys, index + 2, index + 1, firstKeys.size)
+        return Directory(newKeys, AtomicReferenceArray(newChunks.toTypedArray()))
+    }
+
+    /** Changes the covers of all later chunks that begin inside [entry]. */
+    private fun changeCovers(index: Int, entry: PrefixEntry, change: (List<PrefixEntry>) -> List<PrefixEntry>) {
+        val current = directory
+        var later = index + 1
+        while (later < current.firstKeys.size && entry.contains(current.firstKeys[later])) {
+            // A split of this change has already put the entry into the covers of the new chunk; doing so again is
+            // harmless, since the change replaces an equal prefix.
+            if (current.firstKeys[later] != entry.key) {
+                val chunk = current.chunks.get(later)
+                current.chunks.set(later, chunk.withCovers(change(chunk.covers)))
+            }
+            later++
+        }
+    }
+
+    private fun PrefixEntry.samePrefix(other: PrefixEntry): Boolean = key == other.key && length == other.length
+
+    internal companion object {
+        const val NO_VALUE: Int = -1
+
+        /** A change copies at most this many prefixes; larger chunks save little memory and make changes slower. */
+        const val MAXIMUM_CHUNK_SIZE: Int = 512
+
+        private const val INITIAL_CHUNK_SIZE = MAXIMUM_CHUNK_SIZE / 2
+
+        private fun buildDirectory(sorted: List<PrefixEntry>): Directory {
+            val chunks = ArrayList<PrefixChunk>()
+            val firstKeys = ArrayList<Long>()
+            val open = ArrayList<PrefixEntry>()
+            var start = 0
+            while (start < sorted.size) {
+                var end = minOf(start + INITIAL_CHUNK_SIZE, sorted.size)
+                while (end < sorted.size && sorted[end].key == sorted[end - 1].key) end++
+                val part = sorted.subList(start, end)
+                val firstKey = part.first().key
+                open.removeAll { !it.contains(firstKey) }
+                chunks += PrefixChunk.of(part, open.toList())
+                firstKeys += firstKey
+                part.filterTo(open) { end < sorted.size && it.contains(sorted[end].key) }
+                start = end
+            }
+            if (chunks.isEmpty()) {
+                chunks += PrefixChunk.of(emptyList(), emptyList())
+                firstKeys += 0L
+            }
+            return Directory(firstKeys.toLongArray(), AtomicReferenceArray(chunks.toTypedArray()))
+        }
+    }
+}
