--- /dev/null
+++ b/benchmark/src/main/kotlin/org/anvilshed/benchmark/micro/LookupTableBenchmark.kt
@@ -0,0 +1,97 @@
+package org.anvilshed.benchmark.micro
+
+import org.anvilshed.core.RegionName
+import org.anvilshed.core.lookup.AddressFamily
+import org.anvilshed.core.lookup.ClientBlockTable
+import org.anvilshed.core.lookup.IpAddress
+import org.anvilshed.core.lookup.IpPrefix
+import kotlin.random.Random
+
+private const val SITES = 720
+private const val LOOKUPS = 4_000_000
+private const val CHANGES = 20_000
+private const val KEY_BITS = 64
+
+/**
+ * Result of one size of the lookup table.
+ *
+ * @property blocks number of client blocks.
+ * @property tableBytes heap in use by the table after a full collection.
+ * @property lookupNanoseconds mean time of a lookup of a random address, one thread.
+ * @property changeMicroseconds mean time of a change of one block.
+ */
+public data class LookupTableFigures(
+    public val blocks: Int,
+    public val tableBytes: Long,
+    public val lookupNanoseconds: Double,
+    public val changeMicroseconds: Double,
+)
+
+/** Measures a [ClientBlockTable] of [blocks] random IPv4 blocks of 12 to 28 bits for [SITES] sites. */
+public fun measureLookupTable(blocks: Int, seed: Long): LookupTableFigures {
+    val random = Random(seed)
+    val sites = List(SITES) { RegionName("site-$it") }
+    val before = usedHeapAfterCollection()
+    val table = buildTable(blocks, sites, random)
+    val tableBytes = usedHeapAfterCollection() - before
+    val addresses = LongArray(1 shl 16) { random.nextInt().toLong() shl 32 }
+    timeLookups(table, addresses)
+    val lookupNanoseconds = timeLookups(table, addresses)
+    timeChanges(table, sites, random)
+    return LookupTableFigures(blocks, tableBytes, lookupNanoseconds, timeChanges(table, sites, random))
+}
+
+private fun buildTable(blocks: Int, sites: List<RegionName>, random: Random): ClientBlockTable {
+    val entries = HashMap<IpPrefix, RegionName>(blocks * 2)
+    while (entries.size < blocks) entries[randomBlock(random)] = sites.random(random)
+    return ClientBlockTable(entries)
+}
+
+private fun randomBlock(random: Random): IpPrefix {
+    // Most blocks of real tables are long; one in a hundred is shorter than 16 bits.
+    val length = if (random.nextInt(100) == 0) random.nextInt(12, 16) else random.nextInt(16, 29)
+    return IpPrefix(AddressFamily.IPV4, (random.nextInt().toLong() shl 32) and (-1L shl (KEY_BITS - length)), length)
+}
+
+private fun timeLookups(table: ClientBlockTable, addresses: LongArray): Double {
+    var found = 0
+    val start = System.nanoTime()
+    for (index in 0 until LOOKUPS) {
+        if (table.findOrNull(IpAddress(AddressFamily.IPV4, addresses[index and 0xFFFF])) != null) found++
+    }
+    val elapsed = System.nanoTime() - start
+    check(found >= 0)
+    return elapsed.toDouble() / LOOKUPS
+}
+
+private fun timeChanges(table: ClientBlockTable, sites: List<RegionName>, random: Random): Double {
+    val changes = List(CHANGES) { randomBlock(random) to sites.random(random) }
+    val start = System.nanoTime()
+    changes.forEach { (block, site) -> table.put(block, site) }
+    return (System.nanoTime() - start) / 1e3 / CHANGES
+}
+
+private fun usedHeapAfterCollection(): Long {
+    repeat(3) { System.gc() }
+    val runtime = Runtime.getRuntime()
+    return runtime.totalMemory() - runtime.freeMemory()
+}
+
+/** Prints the table of `docs/CAPACITY.md` for client blocks. */
+public fun main() {
+    // The first run loads classes and compiles, which would count as table memory.
+    measureLookupTable(blocks = 50_000, seed = 0)
+    println("blocks      table MB   bytes/block  lookup ns  change us")
+    listOf(106_250, 212_500, 425_000, 850_000, 1_700_000).forEach { blocks ->
+        val figures = measureLookupTable(blocks, seed = 1)
+        println(
+            "%-10d %9.1f %12.1f %10.0f %10.1f".format(
+                figures.blocks,
+                figures.tableBytes / 1e6,
+                figures.tableBytes.toDouble() / figures.blocks,
+                figures.lookupNanoseconds,
+                figures.changeMicroseconds,
+            ),
+        )
+    }
+}
