--- a/core/src/main/kotlin/org/anvilshed/core/lookup/EntryDirectory.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/lookup/EntryDirectory.kt
@@ -47,23 +47,32 @@
         var bestScore = 0.0
         for (index in candidates.indices) {
             val candidate = candidates[index]
-            if (candidate in chosen) continue
-            val rank = rankOf(candidate, region, zone) * 2 + if (chosen.any { it.zone == candidate.zone }) 1 else 0
-            if (rank > bestRank) continue
-            val score = scoreOf(index, callerKey)
-            if (rank < bestRank || score > bestScore) {
-                best = index
-                bestRank = rank
-                bestScore = score
+            val rank = if (candidate in chosen) Int.MAX_VALUE else rankOf(candidate, chosen, region, zone)
+            if (rank < Int.MAX_VALUE && rank <= bestRank) {
+                val score = scoreOf(index, callerKey)
+                if (rank < bestRank || score > bestScore) {
+                    best = index
+                    bestRank = rank
+                    bestScore = score
+                }
             }
         }
         return best
     }
 
-    private fun rankOf(candidate: EntryCandidate, region: RegionName?, zone: ZoneName?): Int = when {
-        zone != null && candidate.zone == zone -> 0
-        region != null && candidate.region == region -> 1
-        else -> 2
+    private fun rankOf(
+        candidate: EntryCandidate,
+        chosen: List<EntryCandidate>,
+        region: RegionName?,
+        zone: ZoneName?,
+    ): Int {
+        val proximity =
+            when {
+                zone != null && candidate.zone == zone -> 0
+                region != null && candidate.region == region -> 1
+                else -> 2
+            }
+        return proximity * 2 + if (chosen.any { it.zone == candidate.zone }) 1 else 0
     }
 
     /** Weighted rendezvous score: the highest of `weight / -ln(uniform)` wins in proportion to the weights. */
