--- /dev/null
+++ b/core/src/main/kotlin/org/anvilshed/core/seats/SeatScope.kt
@@ -0,0 +1,23 @@
+package org.anvilshed.core.seats
+
+import org.anvilshed.core.RegionName
+import org.anvilshed.core.ZoneName
+
+/**
+ * Set of limits that share one ledger.
+ *
+ * @property key key of the ledger object in the platform.
+ */
+public sealed interface SeatScope {
+    public val key: String
+
+    /** Slots and connections of the targets of [zone]. */
+    public data class OfZone(public val zone: ZoneName) : SeatScope {
+        override val key: String get() = "seats/zone/$zone"
+    }
+
+    /** Outgoing links and request limits of [region]. */
+    public data class OfRegion(public val region: RegionName) : SeatScope {
+        override val key: String get() = "seats/region/$region"
+    }
+}
