Simulate processes, faults and targets against the seat holder

The simulation runs the real holder and slot pool of up to six processes with drifting clocks against an in-memory ledger object and checks invariant 2 and the recovery of all seats.

--- a/core/src/main/kotlin/org/anvilshed/core/seats/SeatHolder.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/seats/SeatHolder.kt
@@ -69,7 +69,8 @@
     private var leaving = false
     private var finishing = false
     private var lastRead: MonotonicTime? = null
-    private var attemptAfter = MonotonicTime(Long.MIN_VALUE)
+    private var retryAt = MonotonicTime(Long.MIN_VALUE)
+    private var renewAt = MonotonicTime(Long.MIN_VALUE)
     private var backoffs = 0
 
     /** Seats that may be used now; the snapshot is replaced by the other methods. */
@@ -111,7 +112,8 @@
         val readAt = lastRead
         val action = when {
             hasLeft -> SeatAction.Wait(now + SeatTiming.RENEWAL_PERIOD)
-            now < attemptAfter -> SeatAction.Wait(attemptAfter)
+            now < retryAt -> SeatAction.Wait(retryAt)
+            now < renewAt && !isRemovalDue(now) -> SeatAction.Wait(renewAt)
             readAt == null || now - readAt > READ_VALIDITY -> SeatAction.Read
             replica.pending != null -> resend()
             else -> attempt(now, usage)
@@ -219,11 +221,11 @@
         val leaves = isFinishing && (!isMember || applied && holds.isEmpty())
         if (!isMember && (leaves || !shouldJoin(now))) {
             hasLeft = leaves
-            attemptAfter = now + SeatTiming.RENEWAL_PERIOD
-            return SeatAction.Wait(attemptAfter)
+            renewAt = now + SeatTiming.RENEWAL_PERIOD
+            return SeatAction.Wait(renewAt)
         }
         val ledger = replica.ledger ?: SeatLedger(intent.seats, emptyList(), emptyList())
-        val removed = if (isMember && !leaving && !isFinishing) removableMembers(ledger, now) else emptyList()
+        val removed = removableMembers(ledger, now)
         val removable = removed.mapTo(HashSet()) { it.identity }
         val writeId = random.nextLong()
         val view = SeatView(
@@ -255,7 +257,7 @@
 
     private fun applied(write: PendingWrite, now: MonotonicTime) {
         backoffs = 0
-        attemptAfter = write.firstSentAt + SeatTiming.RENEWAL_PERIOD
+        renewAt = write.firstSentAt + SeatTiming.RENEWAL_PERIOD
         if (write.leaves) {
             leaseFrom = null
             hasLeft = isFinishing
@@ -273,7 +275,7 @@
 
     private fun postpone(now: MonotonicTime, backoff: Duration) {
         val delay = backoff * (1 shl minOf(backoffs++, MAXIMUM_BACKOFF_DOUBLINGS))
-        attemptAfter = now + delay * (0.5 + random.nextDouble())
+        retryAt = now + delay * (0.5 + random.nextDouble())
     }
 
     private fun ownEntry(
@@ -322,15 +324,17 @@
     private fun hasPromised(member: VmIdentity, now: MonotonicTime): Boolean =
         promisesReceived[member].let { it != null && now - it < SeatTiming.LEASE_DURATION }
 
-    private fun removableMembers(ledger: SeatLedger, now: MonotonicTime): List<SeatMember> = ledger.members.filter {
-        it.identity != identity &&
-            watch.unchangedFor(it.identity, now) >= SeatTiming.REMOVAL_DELAY &&
-            (
-                mayRemoveAsGuardian(it, now) ||
-                    watch.hasTerminated(it.identity) ||
-                    it.identity in intent.retired ||
-                    isolationHasEnded(it, now)
-                )
+    private fun isRemovalDue(now: MonotonicTime): Boolean =
+        replica.ledger?.let { removableMembers(it, now) }.orEmpty().isNotEmpty()
+
+    private fun removableMembers(ledger: SeatLedger, now: MonotonicTime): List<SeatMember> =
+        if (!isMember || leaving || isFinishing) emptyList() else ledger.members.filter { isRemovable(it, now) }
+
+    private fun isRemovable(member: SeatMember, now: MonotonicTime): Boolean = when {
+        member.identity == identity -> false
+        watch.unchangedFor(member.identity, now) < SeatTiming.REMOVAL_DELAY -> false
+        watch.hasTerminated(member.identity) || member.identity in intent.retired -> true
+        else -> mayRemoveAsGuardian(member, now) || isolationHasEnded(member, now)
     }
 
     private fun mayRemoveAsGuardian(member: SeatMember, now: MonotonicTime): Boolean = member.guardian == identity &&
--- /dev/null
+++ b/core/src/test/kotlin/org/anvilshed/core/seats/SeatFuzz.kt
@@ -0,0 +1,111 @@
+package org.anvilshed.core.seats
+
+import java.util.stream.LongStream
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+private const val LONGEST_GAP = 4000L
+
+/** Time after the last fault within which all seats are usable again: the isolation limit, removal, hold and joins. */
+private const val RECOVERY_BOUND = 60_000L
+
+/** What happens to the processes of a [SeatSimulation]; [apply] uses [number] to pick a process or a value. */
+internal enum class Fault(val apply: SeatSimulation.(SimulatedVm, number: Int) -> Unit) {
+    NOTHING({ _, _ -> }),
+    CUT_FROM_STORE({ vm, _ -> vm.cutFromStore = true }),
+    CUT_FROM_PEERS({ vm, number -> vm.partition = number }),
+    CUT_VM({ vm, number ->
+        vm.cutFromStore = true
+        vm.partition = number
+    }),
+    CUT_ZONE({ vm, number ->
+        vms.filter { it.zone == vm.zone }.forEach {
+            it.cutFromStore = true
+            it.partition = number
+        }
+    }),
+    HEAL({ _, _ -> heal() }),
+    FREEZE({ vm, number -> vm.frozenUntil = now + number * 150L }),
+    CRASH({ vm, _ -> vm.alive = false }),
+    VANISH({ vm, _ ->
+        vm.alive = false
+        vm.vanished = true
+    }),
+    RESTART({ vm, _ ->
+        vm.alive = false
+        add(vm.zone, vm.identity.name.value)
+    }),
+    REPLACE({ vm, _ ->
+        vm.alive = false
+        add(vm.zone)
+    }),
+    ADD({ vm, _ -> if (running().size < 6) add(vm.zone) }),
+    LEAVE({ vm, _ -> leave(vm) }),
+    RETIRE({ _, _ -> retireEnded() }),
+    OUTAGE({ _, number -> outageUntil = now + number * 150L }),
+    SILENT_OUTAGE({ _, number ->
+        outageIsSilent = true
+        outageUntil = now + number * 150L
+    }),
+    LOSSES({ _, number -> lossRate = number / 150.0 }),
+    DELAYS({ _, number -> longestDelay = 1L + number * 80L }),
+    STALE_READS({ _, number -> staleRate = number / 100.0 }),
+    DEMAND({ vm, number -> vm.holder.changeDemand(number.toDouble()) }),
+    SLOTS({ _, number -> changeSlots(number % 4, 1 + number / 4 % 6) }),
+    SEATS({ _, number -> changeIntent { it.copy(seats = it.seats * (1 + number % 2)).takeIf { it.seats <= 64 } ?: it } }),
+    DEADLINE({ _, number -> changeIntent { it.copy(longestDeadline = (1 + number % 6).seconds) } }),
+    ISOLATION({ _, number -> changeIntent { it.copy(isolationLimit = (number % 20).seconds) } }),
+}
+
+internal data class Command(val gap: Long, val fault: Fault, val vm: Int, val number: Int) {
+    override fun toString(): String = "+${gap}ms $fault(vm $vm, $number)"
+}
+
+/** Runs random sequences of faults against [scope] and reports the first violation with a shortened sequence. */
+internal class SeatFuzz(private val scope: SeatScope) {
+    fun run(firstSeed: Long, sequences: Long) {
+        LongStream.range(firstSeed, firstSeed + sequences).parallel().forEach { seed ->
+            val commands = commandsOf(Random(seed))
+            failureOrNull(seed, commands)?.let { failure ->
+                val shortened = shorten(seed, commands)
+                val message = failureOrNull(seed, shortened)?.message ?: failure.message
+                throw AssertionError("$scope seed $seed: $message\n" + shortened.joinToString("\n"), failure)
+            }
+        }
+    }
+
+    private fun commandsOf(random: Random) = List(random.nextInt(3, 15)) {
+        val gap = if (random.nextInt(4) == 0) 0 else random.nextLong(LONGEST_GAP)
+        Command(gap, Fault.entries.random(random), random.nextInt(100), random.nextInt(1, 100))
+    }.flatMap { command -> if (command.vm % 10 == 0) listOf(command, command) else listOf(command) }
+
+    private fun failureOrNull(seed: Long, commands: List<Command>): Throwable? = runCatching {
+        val simulation = SeatSimulation(seed, scope, zones = listOf(ZONE_A, ZONE_A, ZONE_A, ZONE_B).drop((seed % 3).toInt()))
+        simulation.runFor(8000)
+        for (command in commands) {
+            simulation.runFor(command.gap)
+            command.fault.apply(simulation, simulation.vms[command.vm % simulation.vms.size], command.number)
+        }
+        simulation.runFor(5000)
+        simulation.heal()
+        if (simulation.running().none { !it.leaving && it.zone == ZONE_A }) simulation.add(ZONE_A)
+        simulation.runFor(RECOVERY_BOUND)
+        // A demand that changed last may still move seats, so the whole scope need not be in use at every moment.
+        val recovered = simulation.timeUntil(5000) { simulation.usableFraction() > 1 - 1e-9 && simulation.isHandedBack() }
+        if (recovered == null) throw AssertionError("only ${simulation.usableFraction()} of the seats are usable")
+    }.exceptionOrNull()
+
+    /** Members of another zone must not keep seats of a zone that has a member of its own. */
+    private fun SeatSimulation.isHandedBack() =
+        scope !is SeatScope.OfZone || running().all { it.zone == scope.zone || it.holder.use.seats.isEmpty() }
+
+    private fun shorten(seed: Long, commands: List<Command>): List<Command> {
+        val shorter = commands.indices.asSequence()
+            .map { index -> commands.filterIndexed { at, _ -> at != index } }
+            .firstOrNull { failureOrNull(seed, it) != null }
+        return if (shorter == null) commands else shorten(seed, shorter)
+    }
+}
+
+private fun SeatSimulation.retireEnded() =
+    changeIntent { it.copy(retired = vms.filterNot { vm -> vm.alive }.mapTo(HashSet()) { vm -> vm.identity }) }
--- /dev/null
+++ b/core/src/test/kotlin/org/anvilshed/core/seats/SimulatedVm.kt
@@ -0,0 +1,60 @@
+package org.anvilshed.core.seats
+
+import org.anvilshed.core.Incarnation
+import org.anvilshed.core.MonotonicTime
+import org.anvilshed.core.VmIdentity
+import org.anvilshed.core.VmName
+import org.anvilshed.core.ZoneName
+import org.anvilshed.core.bundle.Target
+import org.anvilshed.core.limits.SlotPool
+import kotlin.random.Random
+
+/** One process of the simulation: the real holder and slot pool, and the faults that it suffers. */
+internal class SimulatedVm(
+    name: String,
+    val zone: ZoneName,
+    scope: SeatScope,
+    intent: SeatIntent,
+    random: Random,
+    targets: List<Target>,
+) {
+    val identity = VmIdentity(VmName(name), Incarnation(random.nextLong()))
+    val holder = SeatHolder(scope, identity, zone, "address-of-$name", intent, Random(random.nextLong()))
+    val pool = SlotPool { holder.use }
+    var intent = intent
+        private set
+    var targets = targets
+        private set
+    var alive = true
+    var vanished = false
+    var frozenUntil = 0L
+    var cutFromStore = false
+
+    /** Only processes of the same partition reach each other. */
+    var partition = 0
+    var leaving = false
+    var busy = false
+
+    // Two clocks may differ by the drift in 5%, so each one is off by at most 2.4%.
+    private val rate = random.nextDouble(0.9765, 1.024)
+    private val origin = random.nextLong(-1_000_000_000_000, 1_000_000_000_000)
+
+    fun isRunning(now: Long): Boolean = alive && now >= frozenUntil
+
+    fun clock(now: Long) = MonotonicTime(origin + (now * 1e6 * rate).toLong())
+
+    fun change(newIntent: SeatIntent, newTargets: List<Target>, now: Long) {
+        intent = newIntent
+        targets = newTargets
+        holder.changeIntent(newIntent, clock(now))
+        apply(now)
+    }
+
+    /** One turn of the daemon's loop. */
+    fun turn(now: Long): SeatAction {
+        val usage = apply(now)
+        return holder.next(clock(now), usage)
+    }
+
+    private fun apply(now: Long): SeatUsage = pool.update(targets, holder.refresh(clock(now)), clock(now))
+}
