--- a/core/src/main/kotlin/org/anvilshed/core/admission/AdmissionQueue.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/admission/AdmissionQueue.kt
@@ -41,7 +41,7 @@
     public val capacity: Int
         get() = synchronized(lock) { currentCapacity() }
 
-    /** Sets the number of slots that this VM owns for the service; requests over a smaller capacity keep their place. */
+    /** Sets the number of slots that this VM owns for the service; waiting requests over the capacity stay. */
     public fun resize(slots: Int) {
         require(slots >= 0) { "$slots slots" }
         synchronized(lock) { this.slots = slots }
@@ -73,6 +73,14 @@
         PollResult(waiting.pollFirst(), removed)
     }
 
+    /**
+     * Puts back a request that [poll] returned and for which no place was found after all. It takes its former place,
+     * even if the queue is full by now, and so the queue is longer by at most the number of concurrent polls.
+     */
+    public fun putBack(ticket: QueueTicket<T>) {
+        synchronized(lock) { waiting += ticket }
+    }
+
     /** Takes out the requests whose deadline has passed; call it by timer, since [poll] depends on free slots. */
     public fun expire(now: MonotonicTime): List<RemovedRequest<T>> = synchronized(lock) { removeExpired(now) }
 
--- a/core/src/main/kotlin/org/anvilshed/core/execution/Execution.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/execution/Execution.kt
@@ -106,7 +106,11 @@
      */
     public fun subscribe(listener: (ExecutionResult) -> Unit): Subscription {
         val present = synchronized(this) {
-            if (ending == null) (listeners ?: mutableListOf<(ExecutionResult) -> Unit>().also { listeners = it }) += listener
+            if (ending ==
+                null
+            ) {
+                (listeners ?: mutableListOf<(ExecutionResult) -> Unit>().also { listeners = it }) += listener
+            }
             ending
         }
         if (present != null) {
@@ -125,7 +129,8 @@
 
     private inline fun end(result: ExecutionResult, allowed: () -> Boolean): Boolean {
         val waiting = synchronized(this) {
-            val replaceable = ending == null || (ending is ExecutionResult.Unknown && result !is ExecutionResult.Unknown)
+            val replaceable =
+                ending == null || (ending is ExecutionResult.Unknown && result !is ExecutionResult.Unknown)
             if (!replaceable || !allowed()) return false
             ending = result
             listeners.also { listeners = null }
--- a/core/src/main/kotlin/org/anvilshed/core/execution/RequestIdentifier.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/execution/RequestIdentifier.kt
@@ -53,6 +53,7 @@
  *
  * @throws IllegalArgumentException if [text] has another form; see [parseRequestIdentifierOrNull].
  */
-public fun parseRequestIdentifier(text: String): RequestIdentifier = requireNotNull(parseRequestIdentifierOrNull(text)) {
-    "'$text' is not a request identifier: expected <vm>.<incarnation>.<window>.<nonce>"
-}
+public fun parseRequestIdentifier(text: String): RequestIdentifier =
+    requireNotNull(parseRequestIdentifierOrNull(text)) {
+        "'$text' is not a request identifier: expected <vm>.<incarnation>.<window>.<nonce>"
+    }
--- a/core/src/main/kotlin/org/anvilshed/core/lifecycle/DrainState.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/lifecycle/DrainState.kt
@@ -70,7 +70,10 @@
     public fun mayList(vm: VmName, isPeerLeaving: (VmName) -> Boolean): Boolean =
         if (vm == self) !isLeaving else !isPeerLeaving(vm)
 
-    /** Records that an answer listing this VM was given at [now] and may be used for [timeToLive]. */
+    /**
+     * Records that an answer listing this VM is given at [now] and may be used for [timeToLive]. Call it before [end]
+     * of the look-up, with a reading of the clock after [mayList].
+     */
     public fun recordListed(now: MonotonicTime, timeToLive: Duration) {
         listedUntil.accumulateAndGet((now + timeToLive).nanoseconds, ::maxOf)
     }
@@ -81,8 +84,10 @@
      * @param lookupTimeToLive time to live of the answers that peers give, from the bundle in force.
      */
     public fun requestStop(now: MonotonicTime, lookupTimeToLive: Duration) {
-        if (leavingSince.compareAndSet(NOT_SET, now.nanoseconds)) recordListed(now, lookupTimeToLive)
+        // The end of the listing is set first: a concurrent step that sees the stop must not see no listing.
+        if (signals.get() == 0) recordListed(now, lookupTimeToLive)
         signals.incrementAndGet()
+        leavingSince.compareAndSet(NOT_SET, now.nanoseconds)
     }
 
     /** Counts a request that arrived. Returns `false` if the VM is closed; its connection is then to be closed. */
@@ -110,12 +115,14 @@
     public fun step(now: MonotonicTime): DrainStep {
         val since = leavingSince.get()
         if (since == NOT_SET) return DrainStep.Serve
-        if (inFlight.get() == CLOSED) return DrainStep.Exit(exitCode.get())
+        // Read before the remaining time: a look-up that began earlier may list this VM until it ends.
+        val count = inFlight.get()
+        if (count == CLOSED) return DrainStep.Exit(exitCode.get())
         val remaining = if (acceptsNewRequests) remainingListing(now) else Duration.ZERO
         val overLimit = (now - MonotonicTime(since)) >= drainLimit
         return when {
-            (remaining == Duration.ZERO || overLimit) && closeIfIdle() -> DrainStep.Exit(EXIT_CLEAN)
-            overLimit -> closeWithWorkRemaining()
+            count == 0 && (remaining == Duration.ZERO || overLimit) && closeIfIdle() -> DrainStep.Exit(EXIT_CLEAN)
+            overLimit && count > 0 -> closeWithWorkRemaining()
             else -> DrainStep.Wait(requestsInFlight, remaining)
         }
     }
--- /dev/null
+++ b/core/src/main/kotlin/org/anvilshed/core/routing/EjectionGroup.kt
@@ -0,0 +1,25 @@
+package org.anvilshed.core.routing
+
+import org.anvilshed.core.MonotonicTime
+
+private const val EJECTABLE_SHARE = 3
+
+/** Targets of one service in one zone, at most a third of which may be ejected at a time. */
+internal class EjectionGroup {
+    private val members = mutableListOf<TargetState>()
+
+    fun replaceMembers(targets: List<TargetState>) {
+        synchronized(this) {
+            members.clear()
+            members += targets
+        }
+    }
+
+    /** Calls [eject] if one more target may be ejected at [now]; the check and the call are one atomic step. */
+    inline fun ejectIfAllowed(now: MonotonicTime, eject: () -> Unit) {
+        synchronized(this) {
+            val ejected = members.count { it.isEjected(now) }
+            if ((ejected + 1) * EJECTABLE_SHARE <= members.size) eject()
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/anvilshed/core/routing/RouteDecision.kt
@@ -0,0 +1,27 @@
+package org.anvilshed.core.routing
+
+import org.anvilshed.core.RefusalReason
+import org.anvilshed.core.RegionName
+
+/** Where a request goes; result of [RouteChooser.route]. */
+public sealed interface RouteDecision {
+    /**
+     * Dispatch to [target], whose slot is taken. Check [TargetState.denyDispatch] again immediately before the first
+     * byte is sent. When the slot is free again, call [TargetState.end] and release the slot.
+     */
+    public data class LocalTarget(public val target: TargetState) : RouteDecision
+
+    /**
+     * Forward to [peer] with mode `execute`. When its answer has ended, call [PeerRoute.end].
+     *
+     * @property movedTo region to which the request was moved, already counted in the [MoveLimit]; `null` if the
+     * request stays in its region.
+     */
+    public data class Peer(public val peer: PeerRoute, public val movedTo: RegionName?) : RouteDecision
+
+    /** Offer the request to the admission queue of its service. */
+    public data object Queue : RouteDecision
+
+    /** The request does not run. */
+    public data class Refuse(public val reason: RefusalReason) : RouteDecision
+}
