--- a/stand-ins/src/main/kotlin/org/anvilshed/standins/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.anvilshed.standins
-
-internal const val PLACEHOLDER: Int = 0
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/anvilshed/standins/SampleBundle.kt
@@ -0,0 +1,108 @@
+package org.anvilshed.standins
+
+/**
+ * What a generated bundle says beyond the shape of the deployment.
+ *
+ * @property addresses IP:port of each target by name.
+ * @property leaving names of targets whose state is `leaving`.
+ * @property leavesAt planned times (RFC 3339) by target name.
+ * @property moves planned moves as service, from, to and fraction.
+ */
+internal data class SampleBundleOptions(
+    val addresses: Map<String, String>,
+    val version: Long = 1,
+    val comment: String = "sample deployment",
+    val leaving: Set<String> = emptySet(),
+    val leavesAt: Map<String, String> = emptyMap(),
+    val moves: List<SampleMove> = emptyList(),
+    val regionRequestsPerSecond: Double = 5_000.0,
+    val shiftCap: Double = 0.5,
+)
+
+/** A planned move of a fraction of a service's requests between regions. */
+internal data class SampleMove(val service: String, val from: String, val to: String, val fraction: Double)
+
+/** Returns the bundle of this deployment in the format of design section 12. */
+internal fun SampleDeployment.bundleText(options: SampleBundleOptions): String = buildString {
+    appendTop(options)
+    for (region in regions) {
+        appendTable(
+            "regions",
+            "name" to region,
+            "requests_per_second" to options.regionRequestsPerSecond,
+        )
+    }
+    for ((zone, region) in zones) appendTable("zones", "name" to zone, "region" to region)
+    for (from in regions) {
+        for (to in regions - from) {
+            appendTable("links", "from" to from, "to" to to, "bits_per_second" to linkBitsPerSecond, "usable" to 0.9)
+        }
+    }
+    for (service in services) appendService(service, options)
+    for (target in targets) appendTarget(target, options)
+    for (move in options.moves) {
+        appendTable(
+            "moves",
+            "service" to move.service,
+            "from" to move.from,
+            "to" to move.to,
+            "fraction" to move.fraction,
+        )
+    }
+    regions.forEachIndexed { index, region ->
+        appendTable("client_blocks", "block" to "10.${index + 1}.0.0/16", "region" to region)
+    }
+}
+
+private fun StringBuilder.appendTop(options: SampleBundleOptions) {
+    appendLine("format = 1")
+    appendLine("version = ${options.version}")
+    appendLine("comment = \"${options.comment}\"")
+    appendLine("lookup_ttl_ms = 2000")
+    appendLine("seats = 64")
+    appendLine("isolation_limit_ms = 7200000")
+    appendLine("revoked_keys = []")
+}
+
+private fun StringBuilder.appendService(service: SampleService, options: SampleBundleOptions) {
+    appendTable(
+        "services",
+        "name" to service.name,
+        "maximum_body_bytes" to 10_485_760,
+        "shift_cap" to options.shiftCap,
+        "shift_window_ms" to 10_000,
+        "shift_ramp" to 0.1,
+    )
+    for (kind in service.kinds) {
+        appendTable(
+            "kinds",
+            "service" to service.name,
+            "name" to kind.name,
+            "idempotent" to kind.idempotent,
+            "worth" to kind.worth,
+            "deadline_ms" to kind.deadlineMs,
+            "maximum_deadline_ms" to kind.maximumDeadlineMs,
+        )
+    }
+}
+
+private fun StringBuilder.appendTarget(target: SampleTarget, options: SampleBundleOptions) {
+    appendTable(
+        "targets",
+        "service" to target.service,
+        "name" to target.name,
+        "zone" to target.zone,
+        "address" to options.addresses.getValue(target.name),
+        "slots" to target.slots,
+        "connections" to 330,
+        "state" to if (target.name in options.leaving) "leaving" else "active",
+    )
+    options.leavesAt[target.name]?.let { appendLine("leaves_at = \"$it\"") }
+}
+
+/** Appends one entry of an array of tables; texts are quoted, numbers and booleans written as they are. */
+internal fun StringBuilder.appendTable(name: String, vararg values: Pair<String, Any>) {
+    appendLine()
+    appendLine("[[$name]]")
+    for ((key, value) in values) appendLine("$key = ${if (value is String) "\"$value\"" else value.toString()}")
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/anvilshed/standins/SampleDeployment.kt
@@ -0,0 +1,96 @@
+package org.anvilshed.standins
+
+/** A kind of requests of a sample service. */
+internal data class SampleKind(
+    val name: String,
+    val idempotent: Boolean,
+    val worth: Int,
+    val deadlineMs: Int,
+    val maximumDeadlineMs: Int,
+)
+
+/** A sample service. */
+internal data class SampleService(val name: String, val kinds: List<SampleKind>)
+
+/** An entry VM of a sample deployment. */
+internal data class SampleVm(val name: String, val zone: String, val region: String)
+
+/** A target of a sample deployment. */
+internal data class SampleTarget(val name: String, val service: String, val zone: String, val slots: Int)
+
+/**
+ * Shape of a sample deployment: three regions with two zones each, seven entry VMs and 36 targets (design section 2.3).
+ *
+ * @property linkBitsPerSecond capacity of each direction between two regions.
+ * @property zoneDelayMs, regionDelayMs one-way delay between zones of a region and between regions.
+ */
+internal data class SampleDeployment(
+    val name: String,
+    val regions: List<String>,
+    val services: List<SampleService>,
+    val slots: IntRange,
+    val linkBitsPerSecond: Long,
+    val zoneDelayMs: Long,
+    val regionDelayMs: Long,
+) {
+    /** Zones with their regions. */
+    val zones: Map<String, String> =
+        regions.flatMap { region -> listOf("a", "b").map { "$region-$it" to region } }.toMap()
+
+    /** One entry VM per zone and a second one in the first zone. */
+    val vms: List<SampleVm> = zones.flatMap { (zone, region) ->
+        (1..if (zone == zones.keys.first()) 2 else 1).map { SampleVm("$zone-$it", zone, region) }
+    }
+
+    /** Two targets per zone and service; the slots go round the range. */
+    val targets: List<SampleTarget> = services.flatMap { service ->
+        zones.keys.flatMap { zone -> (1..2).map { Triple(service.name, zone, it) } }
+    }.mapIndexed { index, (service, zone, number) ->
+        SampleTarget("$service-$zone-$number", service, zone, slots.first + index % slots.count())
+    }
+}
+
+private fun read(name: String, worth: Int, deadlineMs: Int) =
+    SampleKind(name, idempotent = true, worth, deadlineMs, maximumDeadlineMs = 10_000)
+
+private fun write(name: String, worth: Int, deadlineMs: Int) =
+    SampleKind(name, idempotent = false, worth, deadlineMs, maximumDeadlineMs = 10_000)
+
+/** Chokaa Safi Systems: dispatch of crews, bookings and payouts in the evening. */
+internal val CHOKAA = SampleDeployment(
+    name = "chokaa",
+    regions = listOf("nbo", "msa", "ksm"),
+    services = listOf(
+        SampleService("cistern", listOf(read("history", 1, 2_000), read("record", 2, 3_000))),
+        SampleService(
+            "booking",
+            listOf(read("open-jobs", 2, 3_000), write("book", 10, 5_000), write("payout", 20, 5_000)),
+        ),
+        SampleService("stock", listOf(read("level", 1, 2_000), read("route-sheet", 2, 3_000))),
+    ),
+    slots = 3..5,
+    linkBitsPerSecond = 4_000_000_000,
+    zoneDelayMs = 0,
+    regionDelayMs = 27,
+)
+
+/** Régie des calebasses: counter stock, citizens' bookings and ledger, curing records. */
+internal val REGIE = SampleDeployment(
+    name = "regie",
+    regions = listOf("mauricie", "saguenay", "estrie"),
+    services = listOf(
+        SampleService("counter", listOf(read("stock", 1, 2_000), read("price", 1, 2_000))),
+        SampleService(
+            "citizen",
+            listOf(read("catalogue", 2, 3_000), write("loan", 10, 5_000), write("purchase", 20, 5_000)),
+        ),
+        SampleService("curing", listOf(read("schedule", 1, 2_000), read("lot-history", 2, 3_000))),
+    ),
+    slots = 3..4,
+    linkBitsPerSecond = 300_000_000,
+    zoneDelayMs = 1,
+    regionDelayMs = 10,
+)
+
+/** Sample deployments by the name that `--deployment` takes. */
+internal val SAMPLE_DEPLOYMENTS: Map<String, SampleDeployment> = listOf(CHOKAA, REGIE).associateBy { it.name }
