--- a/core/src/main/kotlin/org/anvilshed/core/execution/Execution.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/execution/Execution.kt
@@ -22,6 +22,7 @@
 ) {
     private var attempt = 0
     private var dispatched = false
+    private var removed = false
     private var ending: ExecutionResult? = null
     private var listeners: MutableList<(ExecutionResult) -> Unit>? = null
 
@@ -87,12 +88,12 @@
      * Ends this dispatched request with the complete [answer], or with `null` if it was too large to collect.
      *
      * An answer that arrives after [endUnknown] replaces the unknown result for later duplicates. Returns `false`,
-     * without effect, if the request was not dispatched or already has an answer.
+     * without effect, if the request was not dispatched, already has an answer, or its record has expired.
      */
     public fun complete(answer: RecordedAnswer?): Boolean {
         val retained = answer?.takeIf { records.reserveBytes(it.bytes) }
         val result = retained?.let { ExecutionResult.Answered(it) } ?: ExecutionResult.AnswerNotRetained
-        val ended = end(result) { dispatched }
+        val ended = end(result) { dispatched && !removed }
         if (!ended && retained != null) records.releaseBytes(retained.bytes)
         return ended
     }
@@ -124,7 +125,10 @@
     internal fun expire(): Int {
         end(ExecutionResult.NotRun(RefusalReason.DEADLINE_PASSED)) { !dispatched }
         end(ExecutionResult.Unknown(UnknownReason.IDENTIFIER_EXPIRED)) { dispatched }
-        return (result as? ExecutionResult.Answered)?.answer?.bytes ?: 0
+        return synchronized(this) {
+            removed = true
+            (ending as? ExecutionResult.Answered)?.answer?.bytes ?: 0
+        }
     }
 
     private inline fun end(result: ExecutionResult, allowed: () -> Boolean): Boolean {
