--- /dev/null
+++ b/wire/src/main/kotlin/org/anvilshed/wire/peer/PeerMessage.kt
@@ -0,0 +1,198 @@
+package org.anvilshed.wire.peer
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+import org.anvilshed.core.KindName
+import org.anvilshed.core.RefusalReason
+import org.anvilshed.core.RegionName
+import org.anvilshed.core.ServiceName
+import org.anvilshed.core.TargetName
+import org.anvilshed.core.UnknownReason
+import org.anvilshed.core.VmIdentity
+import org.anvilshed.core.ZoneName
+
+/** Version of the peer protocol; a link between processes of different versions is not established. */
+public const val PROTOCOL_VERSION: Int = 1
+
+/** A message between the daemons of two entry VMs; [encodeFrame] gives its form on the wire. */
+@Serializable
+public sealed interface PeerMessage
+
+/** A message that belongs to one request, identified by the [stream] number on its connection. */
+@Serializable
+public sealed interface StreamMessage : PeerMessage {
+    public val stream: Long
+}
+
+/**
+ * First message in each direction of a connection.
+ *
+ * @property callers base URL at which callers reach the sender.
+ * @property peers address (`host:port`) at which peers reach the sender.
+ */
+@Serializable
+@SerialName("hello")
+public data class Hello(
+    public val vm: VmIdentity,
+    public val zone: ZoneName,
+    public val region: RegionName,
+    public val callers: String,
+    public val peers: String,
+    public val protocolVersion: Int = PROTOCOL_VERSION,
+) : PeerMessage
+
+/** What a process says about its own willingness to serve. */
+@Serializable
+public enum class DeclaredState {
+    STARTING,
+    SERVING,
+    LEAVING,
+}
+
+/** Load of one service on the reporting entry VM: free and owned slots, requests in flight and queued. */
+@Serializable
+public data class ServiceLoad(
+    public val service: ServiceName,
+    public val ownedSlots: Int,
+    public val freeSlots: Int,
+    public val queued: Int,
+    public val estimatedWaitMilliseconds: Long,
+)
+
+/** A process known to the sender; [ageMilliseconds] is the time since the sender heard from it. */
+@Serializable
+public data class KnownPeer(
+    public val vm: VmIdentity,
+    public val zone: ZoneName,
+    public val region: RegionName,
+    public val callers: String,
+    public val peers: String,
+    public val state: DeclaredState,
+    public val identifierWindow: Long,
+    public val ageMilliseconds: Long,
+)
+
+/**
+ * Periodic report of the dialing process.
+ *
+ * @property bundleVersion version of the bundle in force, 0 if there is none.
+ * @property identifierWindow number of the sender's current identifier window.
+ * @property targetsLeaving targets that the sender has seen leaving.
+ */
+@Serializable
+@SerialName("heartbeat")
+public data class Heartbeat(
+    public val sequence: Long,
+    public val state: DeclaredState,
+    public val bundleVersion: Long,
+    public val bundleDigest: String,
+    public val identifierWindow: Long,
+    public val loads: List<ServiceLoad>,
+    public val targetsLeaving: List<TargetName>,
+    public val knownPeers: List<KnownPeer>,
+) : PeerMessage
+
+/**
+ * Response to the [Heartbeat] with the same [sequence].
+ *
+ * @property promise whether the sender promises not to remove the heartbeat's process from a ledger of seats within
+ * the lease duration.
+ */
+@Serializable
+@SerialName("heartbeat-ack")
+public data class HeartbeatAck(public val sequence: Long, public val promise: Boolean) : PeerMessage
+
+/** Asks for the bundle in force if its version is at least [version]. */
+@Serializable
+@SerialName("bundle-request")
+public data class BundleRequest(public val version: Long) : PeerMessage
+
+/** Signed bundle in the form in which the platform stores it; the receiver verifies its signatures. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@SerialName("bundle-reply")
+public class BundleReply(public val version: Long, @ByteString public val record: ByteArray) : PeerMessage
+
+/** What the receiver of a [RequestStart] is asked to do. */
+@Serializable
+public enum class RequestMode {
+    /** Run the request on a target of the receiver; it is never forwarded again. */
+    EXECUTE,
+
+    /** Handle the request as the owner of its identifier. */
+    OWNER,
+}
+
+/** An HTTP header field; names may repeat. */
+@Serializable
+public data class HeaderField(public val name: String, public val value: String)
+
+/**
+ * Opens a stream for one request; the body follows as [BodyChunk]s and [BodyEnd].
+ *
+ * @property path path and query as sent to the target.
+ * @property deadlineMilliseconds remaining time when the message was sent.
+ * @property via entry VMs that the request has passed, the sender last.
+ */
+@Serializable
+@SerialName("request-start")
+public data class RequestStart(
+    override val stream: Long,
+    public val service: ServiceName,
+    public val kind: KindName,
+    public val method: String,
+    public val path: String,
+    public val headers: List<HeaderField>,
+    public val deadlineMilliseconds: Long,
+    public val requestIdentifier: String?,
+    public val mode: RequestMode,
+    public val via: List<String> = emptyList(),
+) : StreamMessage
+
+/** At most [MAXIMUM_CHUNK_BYTES] of a body; counted against the receiver's [Credit]. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+@SerialName("body")
+public class BodyChunk(override val stream: Long, @ByteString public val bytes: ByteArray) : StreamMessage
+
+/** End of a complete body. */
+@Serializable
+@SerialName("body-end")
+public data class BodyEnd(override val stream: Long) : StreamMessage
+
+/** Start of a target's response; the body follows. */
+@Serializable
+@SerialName("response-start")
+public data class ResponseStart(
+    override val stream: Long,
+    public val status: Int,
+    public val headers: List<HeaderField>,
+    public val target: String?,
+    public val via: List<String> = emptyList(),
+) : StreamMessage
+
+/** Allows the receiver to send [bytes] more body bytes on the stream. */
+@Serializable
+@SerialName("credit")
+public data class Credit(override val stream: Long, public val bytes: Long) : StreamMessage
+
+/** The sender no longer takes part in the stream; a response that has started is incomplete. */
+@Serializable
+@SerialName("cancel")
+public data class Cancel(override val stream: Long) : StreamMessage
+
+/** The request did not run. */
+@Serializable
+@SerialName("refused")
+public data class Refused(
+    override val stream: Long,
+    public val reason: RefusalReason,
+    public val retryAfterMilliseconds: Long?,
+) : StreamMessage
+
+/** It cannot be said whether the request ran. */
+@Serializable
+@SerialName("unknown")
+public data class OutcomeUnknown(override val stream: Long, public val reason: UnknownReason) : StreamMessage
--- /dev/null
+++ b/wire/src/main/kotlin/org/anvilshed/wire/peer/PeerTransport.kt
@@ -0,0 +1,126 @@
+package org.anvilshed.wire.peer
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.ServerSocket
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
+import java.io.IOException
+import java.net.ConnectException
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+private val logger = KotlinLogging.logger {}
+
+/** Time for both greetings after the connection is established. */
+private val HANDSHAKE_TIMEOUT: Duration = 2.seconds
+
+/** Result of an attempt to reach a peer; see [PeerTransport.dial]. */
+public sealed interface DialResult {
+    /** The link is established. */
+    public data class Connected(public val link: PeerLink) : DialResult
+
+    /** The peer's host answered that nothing listens at the address: no process runs there. */
+    public data object Refused : DialResult
+
+    /** The attempt failed in a way that says nothing about the process. */
+    public data class Failed(public val cause: String) : DialResult
+}
+
+/** Listens for peers and connects to them; all links share one selector thread. */
+public class PeerTransport(private val local: () -> Hello, private val handler: PeerLinkHandler) : AutoCloseable {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private var server: ServerSocket? = null
+
+    /**
+     * Starts to accept peers on [host] and [port] (0: chosen by the system).
+     *
+     * @return the port.
+     * @throws IOException if the address cannot be used.
+     */
+    public suspend fun listen(host: String, port: Int): Int {
+        val socket = aSocket(selector).tcp().bind(host, port) { reuseAddress = true }
+        server = socket
+        scope.launch { acceptLinks(socket) }
+        return (socket.localAddress as InetSocketAddress).port
+    }
+
+    /** Connects to the peer at [host] and [port] and exchanges greetings within [timeout]. */
+    public suspend fun dial(host: String, port: Int, timeout: Duration): DialResult = try {
+        withTimeout(timeout) {
+            val socket = aSocket(selector).tcp().connect(InetSocketAddress(host, port)) { noDelay = true }
+            DialResult.Connected(establish(socket, dialed = true))
+        }
+    } catch (_: ConnectException) {
+        DialResult.Refused
+    } catch (fault: IOException) {
+        DialResult.Failed(fault.message ?: fault.toString())
+    } catch (fault: PeerProtocolException) {
+        DialResult.Failed(fault.message ?: fault.toString())
+    } catch (_: kotlinx.coroutines.TimeoutCancellationException) {
+        DialResult.Failed("no answer within $timeout")
+    }
+
+    override fun close() {
+        server?.close()
+        scope.cancel()
+        selector.close()
+    }
+
+    private suspend fun acceptLinks(server: ServerSocket) {
+        while (true) {
+            val socket = try {
+                server.accept()
+            } catch (fault: IOException) {
+                logger.warn { "accepting peers failed: ${fault.message}" }
+                return
+            }
+            scope.launch { acceptLink(socket) }
+        }
+    }
+
+    private suspend fun acceptLink(socket: Socket) {
+        try {
+            withTimeout(HANDSHAKE_TIMEOUT) { establish(socket, dialed = false) }
+        } catch (cancelled: CancellationException) {
+            socket.close()
+            if (cancelled !is kotlinx.coroutines.TimeoutCancellationException) throw cancelled
+        } catch (_: IOException) {
+            socket.close()
+        } catch (fault: PeerProtocolException) {
+            logger.warn { "rejected a peer: ${fault.message}" }
+            socket.close()
+        }
+    }
+
+    @Suppress("TooGenericExceptionCaught") // The socket is closed on every failure, which is thrown again.
+    private suspend fun establish(socket: Socket, dialed: Boolean): PeerLink {
+        try {
+            val input = socket.openReadChannel()
+            val output = socket.openWriteChannel(autoFlush = false)
+            output.writeMessage(local())
+            output.flush()
+            val remote = input.readMessage() as? Hello ?: throw PeerProtocolException("no greeting")
+            if (remote.protocolVersion != PROTOCOL_VERSION) {
+                throw PeerProtocolException("protocol version ${remote.protocolVersion}, expected $PROTOCOL_VERSION")
+            }
+            val link = PeerLink(remote, dialed, PeerConnection(socket, input, output, scope), handler)
+            link.start(scope)
+            return link
+        } catch (fault: Throwable) {
+            socket.close()
+            throw fault
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/test/kotlin/org/anvilshed/wire/peer/PeerMessageTest.kt
@@ -0,0 +1,103 @@
+package org.anvilshed.wire.peer
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.ktor.utils.io.ByteReadChannel
+import org.anvilshed.core.Incarnation
+import org.anvilshed.core.KindName
+import org.anvilshed.core.RefusalReason
+import org.anvilshed.core.RegionName
+import org.anvilshed.core.ServiceName
+import org.anvilshed.core.TargetName
+import org.anvilshed.core.UnknownReason
+import org.anvilshed.core.VmIdentity
+import org.anvilshed.core.VmName
+import org.anvilshed.core.ZoneName
+import java.nio.ByteBuffer
+import kotlin.random.Random
+
+private const val SEED = 4711
+private const val CORRUPTED_FRAMES = 200_000
+
+private val vm = VmIdentity(VmName("nbo-a-1"), Incarnation(-3))
+private val zone = ZoneName("nbo-a")
+private val region = RegionName("nbo")
+private val service = ServiceName("booking")
+private val field = HeaderField("X-Test", "ü")
+
+private val messages: List<PeerMessage> = listOf(
+    Hello(vm, zone, region, "http://127.0.0.1:1", "127.0.0.1:2"),
+    Heartbeat(
+        sequence = 7,
+        state = DeclaredState.LEAVING,
+        bundleVersion = 12,
+        bundleDigest = "ab",
+        identifierWindow = 4,
+        loads = listOf(ServiceLoad(service, 4, 2, 1, 30)),
+        targetsLeaving = listOf(TargetName("t-1")),
+        knownPeers = listOf(KnownPeer(vm, zone, region, "http://c", "p", DeclaredState.SERVING, 3, 100)),
+    ),
+    HeartbeatAck(7, promise = true),
+    BundleRequest(12),
+    RequestStart(
+        stream = Long.MAX_VALUE,
+        service = service,
+        kind = KindName("payout"),
+        method = "POST",
+        path = "/a?b=c",
+        headers = listOf(field, field),
+        deadlineMilliseconds = 5_000,
+        requestIdentifier = "nbo-a-1.x.1.y",
+        mode = RequestMode.OWNER,
+        via = listOf("nbo-a-2"),
+    ),
+    BodyEnd(1),
+    ResponseStart(1, 200, emptyList(), null),
+    Credit(1, 65_536),
+    Cancel(1),
+    Refused(1, RefusalReason.NO_SLOT, null),
+    Refused(1, RefusalReason.QUEUE_FULL, 200),
+    OutcomeUnknown(1, UnknownReason.STILL_RUNNING),
+)
+
+class PeerMessageTest :
+    FunSpec({
+        test("every message survives encoding and decoding") {
+            for (message in messages) decodeFrame(encodeFrame(message)) shouldBe message
+        }
+
+        test("bytes of bodies and bundles survive encoding and decoding") {
+            val bytes = ByteArray(MAXIMUM_CHUNK_BYTES) { it.toByte() }
+            val chunk = decodeFrame(encodeFrame(BodyChunk(3, bytes))) as BodyChunk
+            chunk.stream shouldBe 3
+            chunk.bytes shouldBe bytes
+            (decodeFrame(encodeFrame(BundleReply(9, ByteArray(0)))) as BundleReply).record shouldBe ByteArray(0)
+        }
+
+        test("a message larger than a frame is not sent") {
+            shouldThrow<IllegalArgumentException> { encodeFrame(BundleReply(1, ByteArray(MAXIMUM_FRAME_BYTES))) }
+        }
+
+        test("a length outside of the limits is a protocol violation, before any memory is reserved") {
+            for (length in listOf(-1, 0, MAXIMUM_FRAME_BYTES + 1, Int.MAX_VALUE)) {
+                val bytes = ByteBuffer.allocate(Int.SIZE_BYTES).putInt(length).array()
+                shouldThrow<PeerProtocolException> { ByteReadChannel(bytes).readMessage() }
+            }
+        }
+
+        // Any other exception would end the reader's coroutine scope instead of the one link.
+        test("corrupted frames yield a message or a protocol exception") {
+            val random = Random(SEED)
+            repeat(CORRUPTED_FRAMES) {
+                val bytes = encodeFrame(messages.random(random))
+                repeat(1 + random.nextInt(3)) { bytes[random.nextInt(bytes.size)] = random.nextInt().toByte() }
+                val cut = bytes.copyOf(1 + random.nextInt(bytes.size))
+                try {
+                    decodeFrame(cut)
+                } catch (_: PeerProtocolException) {
+                    // Expected for most corruptions.
+                }
+            }
+        }
+    })
