--- a/wire/src/main/kotlin/org/anvilshed/wire/peer/PeerTransport.kt
+++ b/wire/src/main/kotlin/org/anvilshed/wire/peer/PeerTransport.kt
@@ -8,10 +8,10 @@
 import io.ktor.network.sockets.aSocket
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
@@ -68,7 +68,7 @@
         DialResult.Failed(fault.message ?: fault.toString())
     } catch (fault: PeerProtocolException) {
         DialResult.Failed(fault.message ?: fault.toString())
-    } catch (_: kotlinx.coroutines.TimeoutCancellationException) {
+    } catch (_: TimeoutCancellationException) {
         DialResult.Failed("no answer within $timeout")
     }
 
@@ -93,34 +93,32 @@
     private suspend fun acceptLink(socket: Socket) {
         try {
             withTimeout(HANDSHAKE_TIMEOUT) { establish(socket, dialed = false) }
-        } catch (cancelled: CancellationException) {
-            socket.close()
-            if (cancelled !is kotlinx.coroutines.TimeoutCancellationException) throw cancelled
-        } catch (_: IOException) {
-            socket.close()
+        } catch (_: TimeoutCancellationException) {
+            logger.debug { "a peer sent no greeting" }
+        } catch (fault: IOException) {
+            logger.debug { "a peer closed its connection before the greeting: ${fault.message}" }
         } catch (fault: PeerProtocolException) {
             logger.warn { "rejected a peer: ${fault.message}" }
-            socket.close()
         }
     }
 
-    @Suppress("TooGenericExceptionCaught") // The socket is closed on every failure, which is thrown again.
     private suspend fun establish(socket: Socket, dialed: Boolean): PeerLink {
+        var link: PeerLink? = null
         try {
             val input = socket.openReadChannel()
             val output = socket.openWriteChannel(autoFlush = false)
             output.writeMessage(local())
             output.flush()
-            val remote = input.readMessage() as? Hello ?: throw PeerProtocolException("no greeting")
-            if (remote.protocolVersion != PROTOCOL_VERSION) {
-                throw PeerProtocolException("protocol version ${remote.protocolVersion}, expected $PROTOCOL_VERSION")
+            val remote = input.readMessage()
+            if (remote !is Hello || remote.protocolVersion != PROTOCOL_VERSION) {
+                throw PeerProtocolException("expected a greeting of version $PROTOCOL_VERSION, got $remote")
             }
-            val link = PeerLink(remote, dialed, PeerConnection(socket, input, output, scope), handler)
-            link.start(scope)
-            return link
-        } catch (fault: Throwable) {
-            socket.close()
-            throw fault
+            return PeerLink(remote, dialed, PeerConnection(socket, input, output, scope), handler).also {
+                it.start(scope)
+                link = it
+            }
+        } finally {
+            if (link == null) socket.close()
         }
     }
 }
