--- a/daemon/src/main/kotlin/org/anvilshed/daemon/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.anvilshed.daemon
-
-internal const val PLACEHOLDER: Int = 0
--- /dev/null
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/SharedState.kt
@@ -0,0 +1,73 @@
+package org.anvilshed.daemon
+
+import io.vertx.core.Vertx
+import org.anvilshed.core.ServiceName
+import org.anvilshed.core.execution.ExecutionLimits
+import org.anvilshed.core.execution.ExecutionRecords
+import org.anvilshed.core.execution.IdentifierWindows
+import org.anvilshed.core.lifecycle.DrainState
+import org.anvilshed.core.routing.PeerRegistry
+import org.anvilshed.core.routing.RouteChooser
+import org.anvilshed.core.routing.RouteDecision
+import org.anvilshed.core.routing.RouteRequest
+import org.anvilshed.core.routing.TargetRegistry
+import org.anvilshed.core.seats.SeatUse
+import org.anvilshed.daemon.limits.AttemptLimits
+import org.anvilshed.daemon.limits.SeatLimits
+import org.anvilshed.daemon.limits.ServiceRuntimes
+import org.anvilshed.daemon.limits.SlotRelease
+import org.anvilshed.daemon.limits.TakenTarget
+import org.anvilshed.daemon.limits.WaitingRequests
+import org.anvilshed.daemon.metrics.DaemonMetrics
+import org.anvilshed.daemon.request.RECORDED_ANSWER_BYTES
+import org.anvilshed.daemon.request.RequestRate
+import org.anvilshed.daemon.request.RoutingState
+import org.anvilshed.daemon.seats.SeatControl
+import org.anvilshed.daemon.settings.Settings
+import org.anvilshed.daemon.steering.LocalVm
+import org.anvilshed.daemon.steering.SteeringReference
+import kotlin.random.Random
+
+/** State that the request path and the control thread share. */
+internal class SharedState(
+    val settings: Settings,
+    val clock: DaemonClock,
+    val vertx: Vertx,
+    val local: LocalVm,
+    val metrics: DaemonMetrics,
+) {
+    /** Set during the start, before the first bundle; until then no seat may be used. */
+    @Volatile
+    var seats: SeatControl? = null
+
+    val drain = DrainState(local.name, settings.limits.drainLimit)
+    val windows = IdentifierWindows(start = clock.now())
+    val records = ExecutionRecords(
+        local.identity,
+        windows,
+        ExecutionLimits(settings.limits.records, RECORDED_ANSWER_BYTES, settings.limits.recordBytes),
+    )
+    val steering = SteeringReference()
+    val targets = TargetRegistry()
+    val peerRoutes = PeerRegistry()
+    val runtimes = ServiceRuntimes(settings.limits.queue)
+    val limits = SeatLimits(
+        ownRegion = local.region,
+        zoneRights = { zone -> { seats?.useOf(zone) ?: SeatUse.NONE } },
+        regionRights = { seats?.useOfRegion() ?: SeatUse.NONE },
+    )
+    val waiting: WaitingRequests = WaitingRequests(runtimes, clock, ::takeTarget)
+    val release = SlotRelease(vertx, clock) { service -> waiting.serveNext(service) }
+    val routing = RoutingState(local.region, clock, steering, runtimes, limits, release)
+    val rate = RequestRate(clock)
+
+    /** Takes a free slot of a target of [service] in the own zone for a waiting request. */
+    private fun takeTarget(service: ServiceName): TakenTarget? {
+        val plan = steering.current?.plans?.get(service) ?: return null
+        val attempt = AttemptLimits(limits, runtimes.getValue(service), clock, mayMove = false)
+        val question = RouteRequest(clock.now(), clock.wallNow(), Random, mayForward = false)
+        val decision = RouteChooser(attempt.routeLimits).route(plan, question)
+        if (decision !is RouteDecision.LocalTarget) return null
+        return TakenTarget(decision.target, checkNotNull(attempt.slot), release)
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/control/BundleKeeper.kt
@@ -0,0 +1,56 @@
+package org.anvilshed.daemon.control
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withContext
+import org.anvilshed.core.bundle.BundleOutcome
+import org.anvilshed.core.bundle.BundleState
+import org.anvilshed.core.bundle.BundleVerifier
+import org.anvilshed.core.bundle.SignedBundle
+import org.anvilshed.core.bundle.VerifiedBundle
+import org.anvilshed.daemon.metrics.DaemonMetrics
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Bundle in force on this VM. Used on the control thread; signatures are verified outside of it, one offer at a time.
+ *
+ * @param onInForce called with each bundle that comes into force, in the order of their versions.
+ */
+internal class BundleKeeper(
+    private val verifier: BundleVerifier,
+    private val metrics: DaemonMetrics,
+    private val onInForce: (VerifiedBundle) -> Unit,
+) {
+    private val offers = Mutex()
+    private var lastRejected: SignedBundle? = null
+
+    /** Snapshot of the state. */
+    @Volatile
+    var state: BundleState = BundleState()
+        private set
+
+    val inForce: VerifiedBundle? get() = state.inForce
+
+    /** Takes over [offered] if it is valid and newer than the bundle in force. */
+    suspend fun offer(offered: SignedBundle, source: String): Unit = offers.withLock {
+        val decision = withContext(Dispatchers.Default) { state.offer(offered, verifier) }
+        state = decision.state
+        when (val outcome = decision.outcome) {
+            BundleOutcome.AlreadyInForce -> Unit
+
+            is BundleOutcome.CameIntoForce -> {
+                logger.info { "bundle ${outcome.bundle.version} is in force, received from $source" }
+                onInForce(outcome.bundle)
+            }
+
+            is BundleOutcome.Rejected -> {
+                metrics.recordRejection(outcome.reason)
+                if (lastRejected != offered) logger.warn { "rejected a bundle from $source: ${outcome.message}" }
+                lastRejected = offered
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/http/ServiceRoute.kt
@@ -0,0 +1,74 @@
+package org.anvilshed.daemon.http
+
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.ext.web.RoutingContext
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.launch
+import org.anvilshed.daemon.SharedState
+import org.anvilshed.daemon.request.IncomingRequest
+import org.anvilshed.daemon.request.RequestService
+import org.anvilshed.daemon.request.StreamBody
+import org.anvilshed.daemon.request.endToEndRequestHeaders
+
+internal const val SERVICES_PREFIX = "/v1/services/"
+
+/** Serves `ANY /v1/services/<service>/<path>`. */
+internal class ServiceRoute(
+    private val shared: SharedState,
+    private val service: RequestService,
+    private val scope: CoroutineScope,
+) {
+    private val drain = shared.drain
+    private val clock = shared.clock
+
+    /** Handles one request; its body is read only as fast as it is passed on. */
+    fun handle(context: RoutingContext) {
+        val request = context.request()
+        request.pause()
+        val body = StreamBody(request)
+        if (!drain.begin()) {
+            request.connection().close()
+            return
+        }
+        shared.rate.increment()
+        val job = scope.launch(shared.vertx.dispatcher(), CoroutineStart.UNDISPATCHED) {
+            try {
+                serve(request, body)
+            } finally {
+                drain.end()
+                body.discard()
+            }
+        }
+        // The handler runs when the connection ends before the response did.
+        request.response().closeHandler { job.cancel() }
+    }
+
+    private suspend fun serve(request: HttpServerRequest, body: StreamBody) {
+        val incoming = incomingOf(request, body)
+        val sink = CallerSink(request, shared.local.name, drain::isLeaving)
+        val result = service.serve(incoming, sink)
+        shared.metrics.recordRequest(result, clock.now() - incoming.arrivedAt)
+        sink.finish(result)
+    }
+
+    private fun incomingOf(request: HttpServerRequest, body: StreamBody): IncomingRequest {
+        val rest = request.uri().removePrefix(SERVICES_PREFIX)
+        val service = rest.substringBefore('?').substringBefore('/')
+        val path = rest.removePrefix(service)
+        return IncomingRequest(
+            service = service,
+            kind = request.getHeader("Anvilshed-Kind"),
+            method = request.method().name(),
+            path = if (path.startsWith('/')) path else "/$path",
+            headers = endToEndRequestHeaders(request.headers().entries()),
+            // A malformed value is passed on as 0, as the owner of an identifier has to decide about it.
+            deadlineMilliseconds = request.getHeader("Anvilshed-Deadline-Ms")?.let { it.toLongOrNull() ?: 0 },
+            arrivedAt = clock.now(),
+            identifier = request.getHeader("Anvilshed-Request-Id"),
+            declaredLength = request.getHeader("Content-Length")?.toLongOrNull(),
+            body = body,
+        )
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/limits/ServiceRuntime.kt
@@ -0,0 +1,39 @@
+package org.anvilshed.daemon.limits
+
+import org.anvilshed.core.MonotonicTime
+import org.anvilshed.core.ServiceName
+import org.anvilshed.core.admission.AdmissionQueue
+import org.anvilshed.core.bundle.Bundle
+import org.anvilshed.core.bundle.Service
+import org.anvilshed.core.limits.RetryBudget
+import org.anvilshed.core.limits.ShiftLimiter
+import java.util.concurrent.ConcurrentHashMap
+
+/** State of one service that outlives changes of the bundle. */
+internal class ServiceRuntime(val name: ServiceName, service: Service, queueCapacity: Int?) {
+    val queue = AdmissionQueue<QueuedRequest>(queueCapacity)
+    val retryBudget = RetryBudget()
+    val shiftLimiter = ShiftLimiter(service.shiftCap, service.shiftWindow)
+}
+
+/** All services that this process has seen in a bundle. */
+internal class ServiceRuntimes(private val queueCapacity: Int?) {
+    private val runtimes = ConcurrentHashMap<ServiceName, ServiceRuntime>()
+
+    val all: Collection<ServiceRuntime> get() = runtimes.values
+
+    fun applyBundle(bundle: Bundle, now: MonotonicTime) {
+        for (service in bundle.services.values) {
+            val known = runtimes[service.name]
+            if (known == null) {
+                runtimes[service.name] = ServiceRuntime(service.name, service, queueCapacity)
+            } else {
+                known.shiftLimiter.change(service.shiftCap, service.shiftWindow, now)
+            }
+        }
+    }
+
+    fun getValue(service: ServiceName): ServiceRuntime = runtimes.getValue(service)
+
+    fun getOrNull(service: ServiceName): ServiceRuntime? = runtimes[service]
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/metrics/DaemonMetrics.kt
@@ -0,0 +1,98 @@
+package org.anvilshed.daemon.metrics
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.anvilshed.core.RefusalReason
+import org.anvilshed.core.RetryReason
+import org.anvilshed.core.UnknownReason
+import org.anvilshed.core.bundle.BundleRejection
+import org.anvilshed.daemon.request.ServeResult
+import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+
+/** Upper bounds of the latency histogram in seconds. */
+private val LATENCY_BOUNDS = doubleArrayOf(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+
+/** Counters of one daemon. No label names a request, caller or address. */
+internal class DaemonMetrics {
+    private val registry = PrometheusRegistry()
+    private val requests = counter("anvilshed_requests", "Requests of callers by outcome.", "outcome")
+    private val refusals = counter("anvilshed_refusals", "Requests that did not run, by reason.", "reason")
+    private val unknowns = counter("anvilshed_unknown_outcomes", "Requests that may have run, by reason.", "reason")
+    private val retries = counter("anvilshed_retries", "Further attempts of requests, by reason.", "reason")
+    private val forwarded = counter("anvilshed_peer_requests", "Requests of peers by outcome.", "outcome")
+    private val rejections = counter("anvilshed_bundle_rejections", "Offered bundles not accepted, by reason.", "reason")
+    private val lookups = counter("anvilshed_lookups", "Answered lookups.")
+    private val probes = counter("anvilshed_target_probes", "Health probes of targets.")
+    private val platformFailures = counter("anvilshed_platform_failures", "Failed calls of the platform.")
+    private val latency = Histogram.builder()
+        .name("anvilshed_request_seconds")
+        .help("Time from the arrival of a caller's request to its end.")
+        .classicOnly()
+        .classicUpperBounds(*LATENCY_BOUNDS)
+        .register(registry)
+
+    init {
+        // A reason that has not occurred is shown as 0, so that a rate over it is defined.
+        RefusalReason.entries.forEach { refusals.labelValues(it.label) }
+        UnknownReason.entries.forEach { unknowns.labelValues(it.label) }
+        RetryReason.entries.forEach { retries.labelValues(it.label) }
+        BundleRejection.entries.forEach { rejections.labelValues(it.label) }
+    }
+
+    fun recordRequest(result: ServeResult, duration: Duration) {
+        requests.labelValues(result.label).inc()
+        latency.observe(duration.toDouble(DurationUnit.SECONDS))
+        recordReason(result)
+    }
+
+    fun recordPeerRequest(result: ServeResult) {
+        forwarded.labelValues(result.label).inc()
+        recordReason(result)
+    }
+
+    fun recordRetry(reason: RetryReason): Unit = retries.labelValues(reason.label).inc()
+
+    fun recordRejection(reason: BundleRejection): Unit = rejections.labelValues(reason.label).inc()
+
+    fun recordLookup(): Unit = lookups.inc()
+
+    fun recordProbe(): Unit = probes.inc()
+
+    fun recordPlatformFailure(): Unit = platformFailures.inc()
+
+    /** Registers a gauge whose value is read at each scrape. */
+    fun gauge(name: String, help: String, value: () -> Double) {
+        GaugeWithCallback.builder().name(name).help(help).callback { it.call(value()) }.register(registry)
+    }
+
+    /** Returns all metrics in the Prometheus text format. */
+    fun toText(): ByteArray {
+        val output = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.builder().build().write(output, registry.scrape())
+        return output.toByteArray()
+    }
+
+    private fun recordReason(result: ServeResult) {
+        when (result) {
+            is ServeResult.NotRun -> refusals.labelValues(result.reason.label).inc()
+            is ServeResult.Unknown -> unknowns.labelValues(result.reason.label).inc()
+            ServeResult.Answered, ServeResult.Broken -> Unit
+        }
+    }
+
+    private fun counter(name: String, help: String, vararg labels: String): Counter =
+        Counter.builder().name(name).help(help).labelNames(*labels).register(registry)
+}
+
+private val ServeResult.label: String
+    get() = when (this) {
+        ServeResult.Answered -> "answered"
+        ServeResult.Broken -> "broken"
+        is ServeResult.NotRun -> "not-run"
+        is ServeResult.Unknown -> "unknown"
+    }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/PeerSink.kt
@@ -0,0 +1,50 @@
+package org.anvilshed.daemon.request
+
+import io.vertx.core.buffer.Buffer
+import org.anvilshed.core.VmName
+import org.anvilshed.daemon.limits.LinkPacer
+import org.anvilshed.wire.peer.BodyEnd
+import org.anvilshed.wire.peer.OutcomeUnknown
+import org.anvilshed.wire.peer.PeerStream
+import org.anvilshed.wire.peer.Refused
+import org.anvilshed.wire.peer.ResponseStart
+
+/**
+ * Sends a response to the peer that forwarded the request.
+ *
+ * @param pacer limit of the link to the peer's region, which the body has to keep to.
+ */
+internal class PeerSink(private val stream: PeerStream, private val self: VmName, private val pacer: LinkPacer) :
+    ResponseSink {
+    override suspend fun begin(head: ResponseHead) {
+        val via = listOf(self.value) + head.via
+        stream.send(ResponseStart(stream.number, head.status, head.headers, head.target?.value, via))
+    }
+
+    override suspend fun write(bytes: Buffer) {
+        pacer.await(bytes.length())
+        stream.sendBody(bytes.bytes)
+    }
+
+    override suspend fun end() {
+        stream.send(BodyEnd(stream.number))
+    }
+
+    /** Tells the peer about a request without a response and ends the stream. */
+    suspend fun finish(result: ServeResult) {
+        when (result) {
+            ServeResult.Answered -> Unit
+
+            ServeResult.Broken -> {
+                stream.cancel()
+                return
+            }
+
+            is ServeResult.NotRun ->
+                stream.send(Refused(stream.number, result.reason, result.retryAfter?.inWholeMilliseconds))
+
+            is ServeResult.Unknown -> stream.send(OutcomeUnknown(stream.number, result.reason))
+        }
+        stream.finish()
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/TargetAttempt.kt
@@ -0,0 +1,225 @@
+package org.anvilshed.daemon.request
+
+import io.vertx.core.Future
+import io.vertx.core.MultiMap
+import io.vertx.core.http.HttpClient
+import io.vertx.core.http.HttpClientRequest
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.RequestOptions
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.anvilshed.core.MonotonicTime
+import org.anvilshed.core.RefusalReason
+import org.anvilshed.core.RetryReason
+import org.anvilshed.core.UnknownReason
+import org.anvilshed.core.seats.SeatUse
+import org.anvilshed.daemon.DaemonClock
+import org.anvilshed.daemon.limits.TakenTarget
+import org.anvilshed.daemon.remaining
+import org.anvilshed.daemon.toTimerMilliseconds
+import kotlin.time.Duration
+
+private const val BUSY_STATUS = 503
+
+/** What an attempt at a target needs apart from the request. */
+internal class TargetAccess(
+    val client: HttpClient,
+    val clock: DaemonClock,
+    val recordServed: (ServiceRequest, Duration) -> Unit,
+)
+
+/**
+ * One attempt to run [request] on the target of [place]. Nothing is sent to the target before [gate] was opened, and the
+ * slot stays taken until the response has ended or the deadline has passed.
+ *
+ * @param seats right to use the target's slot, read again at the last moment.
+ */
+internal class TargetAttempt(
+    private val access: TargetAccess,
+    private val request: ServiceRequest,
+    private val place: TakenTarget,
+    private val seats: () -> SeatUse,
+    private val gate: DispatchGate,
+    private val sink: ResponseSink,
+) {
+    private class Answer(val status: Int, val headers: MultiMap, val body: StreamBody)
+
+    private val clock = access.clock
+    private val target = place.state
+    private var outgoing: HttpClientRequest? = null
+    private var uploaded = false
+    private var begun = false
+    private var complete = false
+    private var released = false
+    private var bodyFault: UnknownReason? = null
+
+    suspend fun run(): AttemptResult {
+        val started = clock.now()
+        try {
+            val result = withTimeoutOrNull(clock.remaining(request.deadline)) { exchange() } ?: timedOut()
+            if (complete && result is AttemptResult.Ended) {
+                val latency = clock.now() - started
+                target.recordSuccess(latency)
+                access.recordServed(request, latency)
+            }
+            return result
+        } finally {
+            release()
+        }
+    }
+
+    private suspend fun exchange(): AttemptResult {
+        val connected = connect()
+        if (connected == null) {
+            target.recordFailure(clock.now())
+            val refusal = ServeResult.NotRun(RefusalReason.NO_TARGET)
+            return AttemptResult.NotRun(refusal, RetryReason.TARGET_CONNECTION_REFUSED)
+        }
+        val denied = gate.open(request.deadline, ::denyDispatch)
+        if (denied != null) {
+            connected.reset()
+            return if (denied == RefusalReason.NO_TARGET) AttemptResult.NotSent(denied) else notRun(denied)
+        }
+        outgoing = connected
+        val response = receive(connected)
+        return if (request.body.knownLength != null) {
+            upload(connected)
+            answer(response, upload = null)
+        } else {
+            coroutineScope {
+                val upload = launch { uploadReportingFaults(connected) }
+                answer(response, upload).also { upload.cancelAndJoin() }
+            }
+        }
+    }
+
+    private fun denyDispatch(now: MonotonicTime): RefusalReason? =
+        if (seats().isValidAt(now)) target.denyDispatch(clock.wallNow()) else RefusalReason.NO_SEAT
+
+    private suspend fun connect(): HttpClientRequest? {
+        val connecting = access.client.request(options())
+        return try {
+            connecting.coAwait()
+        } catch (cancelled: CancellationException) {
+            // A connection that comes late would otherwise stay occupied for ever.
+            connecting.onSuccess { it.reset() }
+            throw cancelled
+        } catch (@Suppress("TooGenericExceptionCaught") _: Exception) {
+            // Vert.x reports a failed connection by exceptions of many types. Nothing was sent.
+            null
+        }
+    }
+
+    private fun options(): RequestOptions {
+        val remaining = minOf(clock.remaining(request.deadline), seats().longestDeadline)
+        val headers = MultiMap.caseInsensitiveMultiMap()
+        request.headers.forEach { headers.add(it.name, it.value) }
+        headers.set("Deadline-Ms", remaining.toTimerMilliseconds().toString())
+        request.identifier?.let { headers.set("Request-Id", it.toString()) }
+        return RequestOptions()
+            .setMethod(HttpMethod.valueOf(request.method))
+            .setHost(target.address.substringBeforeLast(':').removeSurrounding("[", "]"))
+            .setPort(target.address.substringAfterLast(':').toInt())
+            .setURI(request.path)
+            .setFollowRedirects(false)
+            .setHeaders(headers)
+    }
+
+    private fun receive(connected: HttpClientRequest): Future<Answer> = connected.response().map { response ->
+        response.pause()
+        Answer(response.statusCode(), response.headers(), StreamBody(response))
+    }
+
+    private suspend fun upload(connected: HttpClientRequest) {
+        val length = request.body.knownLength
+        val hasLength = request.headers.valueOrNull("content-length") != null
+        if (length == null && !hasLength) connected.setChunked(true)
+        if (length != null && length > 0 && !hasLength) connected.putHeader("Content-Length", length.toString())
+        // A failed write is not awaited: the response fails with it, or the target has answered before the body's end.
+        request.body.forEach { piece ->
+            val written = connected.write(piece)
+            if (connected.writeQueueFull()) written.awaitIgnoringFailure()
+        }
+        connected.end()
+        uploaded = true
+    }
+
+    private suspend fun Future<Void>.awaitIgnoringFailure() {
+        otherwiseEmpty().coAwait()
+    }
+
+    private suspend fun uploadReportingFaults(connected: HttpClientRequest) {
+        try {
+            upload(connected)
+        } catch (_: BodyTooLargeException) {
+            bodyFault = UnknownReason.BODY_TOO_LARGE
+            connected.reset()
+        } catch (_: BodyBrokenException) {
+            bodyFault = UnknownReason.CANCELLED
+            connected.reset()
+        }
+    }
+
+    private suspend fun answer(response: Future<Answer>, upload: Job?): AttemptResult {
+        val answer = try {
+            response.coAwait()
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (@Suppress("TooGenericExceptionCaught") _: Exception) {
+            // Vert.x reports a lost connection by exceptions of many types.
+            upload?.cancelAndJoin()
+            return lost()
+        }
+        return if (answer.isShed()) shed(answer) else passOn(answer)
+    }
+
+    private fun lost(): AttemptResult {
+        bodyFault?.let { return unknown(it) }
+        target.recordFailure(clock.now())
+        return AttemptResult.Lost(UnknownReason.TARGET_CONNECTION_LOST, RetryReason.TARGET_CONNECTION_LOST)
+    }
+
+    private fun Answer.isShed(): Boolean = status == BUSY_STATUS && headers["Not-Run"] == "true"
+
+    private fun shed(answer: Answer): AttemptResult {
+        if (answer.headers["Draining"] == "true") target.recordDrainingAnswer()
+        complete = true
+        answer.body.discard()
+        gate.returned()
+        return AttemptResult.NotRun(ServeResult.NotRun(RefusalReason.TARGET_SHED), RetryReason.TARGET_SHED)
+    }
+
+    private suspend fun passOn(answer: Answer): AttemptResult {
+        begun = true
+        sink.begin(ResponseHead(answer.status, endToEndResponseHeaders(answer.headers.entries()), target.name))
+        try {
+            while (true) sink.write(answer.body.next() ?: break)
+        } catch (_: BodyBrokenException) {
+            target.recordFailure(clock.now())
+            return AttemptResult.Ended(ServeResult.Broken)
+        }
+        complete = true
+        // A receiver that is slow to take the end must not occupy the slot.
+        release()
+        sink.end()
+        return AttemptResult.Ended(ServeResult.Answered)
+    }
+
+    private fun timedOut(): AttemptResult {
+        if (outgoing == null) return notRun(RefusalReason.DEADLINE_PASSED)
+        target.recordFailure(clock.now())
+        return if (begun) AttemptResult.Ended(ServeResult.Broken) else unknown(UnknownReason.DEADLINE_PASSED)
+    }
+
+    private fun release() {
+        if (released) return
+        released = true
+        if (outgoing == null || complete) place.complete() else place.abandon(request.deadline)
+        if (!complete || !uploaded) outgoing?.reset()
+    }
+}
--- a/wire/src/main/kotlin/org/anvilshed/wire/peer/PeerMessage.kt
+++ b/wire/src/main/kotlin/org/anvilshed/wire/peer/PeerMessage.kt
@@ -12,6 +12,7 @@
 import org.anvilshed.core.UnknownReason
 import org.anvilshed.core.VmIdentity
 import org.anvilshed.core.ZoneName
+import org.anvilshed.core.bundle.SignedBundle
 
 /** Version of the peer protocol; a link between processes of different versions is not established. */
 public const val PROTOCOL_VERSION: Int = 1
@@ -97,23 +98,22 @@
 /**
  * Response to the [Heartbeat] with the same [sequence].
  *
- * @property promise whether the sender promises not to remove the heartbeat's process from a ledger of seats within
- * the lease duration.
+ * @property promises keys of the ledgers of seats from which the sender promises not to remove the heartbeat's process
+ * within the lease duration. The promise is given per ledger, since a process can be a member of one only.
  */
 @Serializable
 @SerialName("heartbeat-ack")
-public data class HeartbeatAck(public val sequence: Long, public val promise: Boolean) : PeerMessage
+public data class HeartbeatAck(public val sequence: Long, public val promises: Set<String>) : PeerMessage
 
 /** Asks for the bundle in force if its version is at least [version]. */
 @Serializable
 @SerialName("bundle-request")
 public data class BundleRequest(public val version: Long) : PeerMessage
 
-/** Signed bundle in the form in which the platform stores it; the receiver verifies its signatures. */
-@OptIn(ExperimentalSerializationApi::class)
+/** The bundle in force on the sender; the receiver verifies its signatures. */
 @Serializable
 @SerialName("bundle-reply")
-public class BundleReply(public val version: Long, @ByteString public val record: ByteArray) : PeerMessage
+public data class BundleReply(public val bundle: SignedBundle) : PeerMessage
 
 /** What the receiver of a [RequestStart] is asked to do. */
 @Serializable
@@ -133,22 +133,26 @@
  * Opens a stream for one request; the body follows as [BodyChunk]s and [BodyEnd].
  *
  * @property path path and query as sent to the target.
- * @property deadlineMilliseconds remaining time when the message was sent.
- * @property via entry VMs that the request has passed, the sender last.
+ * @property deadlineMilliseconds remaining time when the message was sent; `null` for the kind's default, and 0 if the
+ * caller's value was malformed. Only the owner of an identifier gets the last two, since no other VM may say that a
+ * request with an identifier did not run.
+ * @property requestIdentifier identifier of a non-idempotent request.
+ * @property mayRun whether the shift cap of the region in which the request entered lets it run in the receiver's
+ * region; otherwise only the result of an earlier arrival may be returned.
  */
 @Serializable
 @SerialName("request-start")
 public data class RequestStart(
     override val stream: Long,
     public val service: ServiceName,
-    public val kind: KindName,
+    public val kind: KindName?,
     public val method: String,
     public val path: String,
     public val headers: List<HeaderField>,
-    public val deadlineMilliseconds: Long,
+    public val deadlineMilliseconds: Long?,
     public val requestIdentifier: String?,
     public val mode: RequestMode,
-    public val via: List<String> = emptyList(),
+    public val mayRun: Boolean = true,
 ) : StreamMessage
 
 /** At most [MAXIMUM_CHUNK_BYTES] of a body; counted against the receiver's [Credit]. */
@@ -162,7 +166,11 @@
 @SerialName("body-end")
 public data class BodyEnd(override val stream: Long) : StreamMessage
 
-/** Start of a target's response; the body follows. */
+/**
+ * Start of a target's response; the body follows.
+ *
+ * @property via entry VMs from the sender to the one that called the target.
+ */
 @Serializable
 @SerialName("response-start")
 public data class ResponseStart(
--- a/wire/src/main/kotlin/org/anvilshed/wire/peer/PeerStream.kt
+++ b/wire/src/main/kotlin/org/anvilshed/wire/peer/PeerStream.kt
@@ -1,5 +1,6 @@
 package org.anvilshed.wire.peer
 
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicLong
@@ -20,8 +21,12 @@
     private val window = SendWindow(INITIAL_WINDOW_BYTES)
     private val unreadBytes = AtomicLong()
     private val closed = AtomicBoolean()
+    private val endedJob = Job()
     private var consumedBytes = 0L
 
+    /** Completes when the stream is closed, the other side cancelled it, or the link is broken. */
+    public val ended: Job get() = endedJob
+
     /**
      * Sends [bytes] as body chunks, waiting for credit as needed.
      *
@@ -80,9 +85,11 @@
             throw PeerProtocolException("stream $number sent more body bytes than it had credit for")
         }
         inbox.trySend(message)
+        if (message is Cancel) endedJob.complete()
     }
 
     internal fun breakOff() {
+        endedJob.complete()
         window.close()
         inbox.close()
     }
--- a/wire/src/main/kotlin/org/anvilshed/wire/peer/PeerTransport.kt
+++ b/wire/src/main/kotlin/org/anvilshed/wire/peer/PeerTransport.kt
@@ -44,7 +44,7 @@
     private var server: ServerSocket? = null
 
     /**
-     * Starts to accept peers on [host] and [port] (0: chosen by the system).
+     * Listens on [host] and [port] (0: chosen by the system). Peers are accepted after [startAccepting].
      *
      * @return the port.
      * @throws IOException if the address cannot be used.
@@ -52,10 +52,15 @@
     public suspend fun listen(host: String, port: Int): Int {
         val socket = aSocket(selector).tcp().bind(host, port) { reuseAddress = true }
         server = socket
-        scope.launch { acceptLinks(socket) }
         return (socket.localAddress as InetSocketAddress).port
     }
 
+    /** Starts to accept peers on the address given to [listen]. */
+    public fun startAccepting() {
+        val socket = checkNotNull(server) { "not listening" }
+        scope.launch { acceptLinks(socket) }
+    }
+
     /** Connects to the peer at [host] and [port] and exchanges greetings within [timeout]. */
     public suspend fun dial(host: String, port: Int, timeout: Duration): DialResult = try {
         withTimeout(timeout) {
--- a/wire/src/test/kotlin/org/anvilshed/wire/peer/PeerLinkTest.kt
+++ b/wire/src/test/kotlin/org/anvilshed/wire/peer/PeerLinkTest.kt
@@ -87,6 +87,7 @@
     val client = RecordingHandler(scope)
     PeerTransport({ hello("server") }, server).use { accepting ->
         val port = accepting.listen("127.0.0.1", 0)
+        accepting.startAccepting()
         PeerTransport({ hello("client") }, client).use { dialing ->
             val result = dialing.dial("127.0.0.1", port, TIMEOUT)
             val link = result.shouldBeInstanceOf<DialResult.Connected>().link
@@ -123,8 +124,8 @@
         test("each side learns who the other one is") {
             withPair(serve = { _, _ -> }) {
                 link.remote.vm.name shouldBe VmName("server")
-                link.sendControl(HeartbeatAck(1, promise = true))
-                eventually(TIMEOUT) { server.messages shouldContain HeartbeatAck(1, promise = true) }
+                link.sendControl(HeartbeatAck(1, emptySet()))
+                eventually(TIMEOUT) { server.messages shouldContain HeartbeatAck(1, emptySet()) }
                 server.links.first().remote.vm.name shouldBe VmName("client")
             }
         }
@@ -143,6 +144,7 @@
             val handler = RecordingHandler(CoroutineScope(Dispatchers.Default))
             PeerTransport({ hello("server", version = 2) }, handler).use { accepting ->
                 val port = accepting.listen("127.0.0.1", 0)
+            accepting.startAccepting()
                 PeerTransport({ hello("client") }, handler).use { dialing ->
                     dialing.dial("127.0.0.1", port, TIMEOUT).shouldBeInstanceOf<DialResult.Failed>()
                 }
@@ -178,8 +180,8 @@
                 quick.sendBody(body).shouldBeTrue()
                 quick.send(BodyEnd(quick.number))
                 quick.readBody().shouldNotBeNull().size shouldBe body.size
-                link.sendControl(HeartbeatAck(5, promise = false)).shouldBeTrue()
-                eventually(TIMEOUT) { server.messages shouldContain HeartbeatAck(5, promise = false) }
+                link.sendControl(HeartbeatAck(5, emptySet())).shouldBeTrue()
+                eventually(TIMEOUT) { server.messages shouldContain HeartbeatAck(5, emptySet()) }
 
                 var received = 0
                 withTimeoutOrNull(QUIET) {
--- a/wire/src/test/kotlin/org/anvilshed/wire/peer/PeerMessageTest.kt
+++ b/wire/src/test/kotlin/org/anvilshed/wire/peer/PeerMessageTest.kt
@@ -14,8 +14,14 @@
 import org.anvilshed.core.VmIdentity
 import org.anvilshed.core.VmName
 import org.anvilshed.core.ZoneName
+import org.anvilshed.core.bundle.ActivationRecord
+import org.anvilshed.core.bundle.BinaryData
+import org.anvilshed.core.bundle.MAXIMUM_BUNDLE_BYTES
+import org.anvilshed.core.bundle.SignOff
+import org.anvilshed.core.bundle.SignedBundle
 import java.nio.ByteBuffer
 import kotlin.random.Random
+import kotlin.time.Instant
 
 private const val SEED = 4711
 private const val CORRUPTED_FRAMES = 200_000
@@ -38,7 +44,7 @@
         targetsLeaving = listOf(TargetName("t-1")),
         knownPeers = listOf(KnownPeer(vm, zone, region, "http://c", "p", DeclaredState.SERVING, 3, 100)),
     ),
-    HeartbeatAck(7, promise = true),
+    HeartbeatAck(7, setOf("seats/zone/nbo-a")),
     BundleRequest(12),
     RequestStart(
         stream = Long.MAX_VALUE,
@@ -50,8 +56,9 @@
         deadlineMilliseconds = 5_000,
         requestIdentifier = "nbo-a-1.x.1.y",
         mode = RequestMode.OWNER,
-        via = listOf("nbo-a-2"),
+        mayRun = false,
     ),
+    bundleReply(10),
     BodyEnd(1),
     ResponseStart(1, 200, emptyList(), null),
     Credit(1, 65_536),
@@ -61,6 +68,13 @@
     OutcomeUnknown(1, UnknownReason.STILL_RUNNING),
 )
 
+private fun bundleReply(size: Int): BundleReply {
+    val signature = BinaryData(ByteArray(64))
+    val activation = ActivationRecord(Instant.fromEpochSeconds(0), emptyList())
+    val signOff = SignOff("operator-b", signature, "0123456789abcdef", activation)
+    return BundleReply(SignedBundle(BinaryData(ByteArray(size)), "operator-a", signature, "0123456789abcdef", signOff))
+}
+
 class PeerMessageTest :
     FunSpec({
         test("every message survives encoding and decoding") {
