--- a/daemon/src/main/kotlin/org/anvilshed/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/Main.kt
@@ -1,8 +1,8 @@
 package org.anvilshed.daemon
 
 import com.github.ajalt.clikt.core.CliktCommand
-import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.CliktError
+import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.NoOpCliktCommand
 import com.github.ajalt.clikt.core.ProgramResult
 import com.github.ajalt.clikt.core.UsageError
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/RequestPlane.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/RequestPlane.kt
@@ -34,7 +34,9 @@
     private val dispatcher =
         Dispatcher(shared.routing, shared.waiting, access, links::linkTo, shared.metrics::recordRetry)
     private val resolver =
-        RequestResolver(shared.local.region, shared.settings.limits.maximumBodyBytes) { shared.steering.current?.bundle }
+        RequestResolver(shared.local.region, shared.settings.limits.maximumBodyBytes) {
+            shared.steering.current?.bundle
+        }
     private val service = RequestService(
         resolver = resolver,
         records = shared.records,
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/control/HeartbeatSource.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/control/HeartbeatSource.kt
@@ -55,7 +55,9 @@
         return shared.runtimes.all.map { runtime ->
             val members = own[runtime.name].orEmpty()
             val queued = runtime.queue.size
-            val free = members.filter { it.isAvailable(now, wallNow) }.sumOf { it.freeSlots(pool.free(it.name, now), now) }
+            val free = members.filter {
+                it.isAvailable(now, wallNow)
+            }.sumOf { it.freeSlots(pool.free(it.name, now), now) }
             ServiceLoad(
                 service = runtime.name,
                 ownedSlots = members.sumOf { pool.owned(it.name) },
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/control/PlatformWatch.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/control/PlatformWatch.kt
@@ -2,8 +2,8 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.anvilshed.core.MonotonicTime
 import org.anvilshed.core.bundle.SignedBundle
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/http/CallerServer.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/http/CallerServer.kt
@@ -1,8 +1,8 @@
 package org.anvilshed.daemon.http
 
 import io.vertx.core.Context
-import io.vertx.core.DeploymentOptions
 import io.vertx.core.Deployable
+import io.vertx.core.DeploymentOptions
 import io.vertx.core.Future
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpServer
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/metrics/DaemonMetrics.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/metrics/DaemonMetrics.kt
@@ -25,7 +25,8 @@
     private val unknowns = counter("anvilshed_unknown_outcomes", "Requests that may have run, by reason.", "reason")
     private val retries = counter("anvilshed_retries", "Further attempts of requests, by reason.", "reason")
     private val forwarded = counter("anvilshed_peer_requests", "Requests of peers by outcome.", "outcome")
-    private val rejections = counter("anvilshed_bundle_rejections", "Offered bundles not accepted, by reason.", "reason")
+    private val rejections =
+        counter("anvilshed_bundle_rejections", "Offered bundles not accepted, by reason.", "reason")
     private val lookups = counter("anvilshed_lookups", "Answered lookups.")
     private val probes = counter("anvilshed_target_probes", "Health probes of targets.")
     private val platformFailures = counter("anvilshed_platform_failures", "Failed calls of the platform.")
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/Dispatcher.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/Dispatcher.kt
@@ -1,11 +1,11 @@
 package org.anvilshed.daemon.request
 
 import org.anvilshed.core.RefusalReason
+import org.anvilshed.core.RegionName
 import org.anvilshed.core.RetryReason
 import org.anvilshed.core.ServiceName
 import org.anvilshed.core.UnknownReason
 import org.anvilshed.core.VmIdentity
-import org.anvilshed.core.RegionName
 import org.anvilshed.core.routing.PeerRoute
 import org.anvilshed.core.routing.RegionPlan
 import org.anvilshed.core.routing.RouteChooser
@@ -110,7 +110,13 @@
         private fun refusalUnlessRetried(attempt: AttemptResult.NotRun): ServeResult? {
             if (request.isForwarded) return attempt.refusal
             return refusalOfRetry(attempt.retry)?.let { reason ->
-                if (reason == RefusalReason.RETRY_BUDGET) ServeResult.NotRun(reason, attempt.refusal.retryAfter) else attempt.refusal
+                if (reason ==
+                    RefusalReason.RETRY_BUDGET
+                ) {
+                    ServeResult.NotRun(reason, attempt.refusal.retryAfter)
+                } else {
+                    attempt.refusal
+                }
             }
         }
 
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/OwnedRequests.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/OwnedRequests.kt
@@ -116,7 +116,10 @@
         }
         // Nothing of a short response was passed on when it broke off, so the caller can still be told.
         val isSilent = result == ServeResult.Broken && !recording.isPassedOn
-        return Worked(if (isSilent) ServeResult.Unknown(UnknownReason.TARGET_CONNECTION_LOST) else result, answer = null)
+        return Worked(
+            if (isSilent) ServeResult.Unknown(UnknownReason.TARGET_CONNECTION_LOST) else result,
+            answer = null,
+        )
     }
 
     private suspend fun send(answer: RecordedAnswer, sink: ResponseSink, isReplayed: Boolean) {
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/OwnerForwarder.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/OwnerForwarder.kt
@@ -69,7 +69,8 @@
         val service = ServiceName(incoming.service)
         val region = link.remote.region
         val mayRun = region == routing.region || isMoveAllowed(service)
-        val body = RequestBody(this, resolver.serviceOrNull(incoming)?.maximumBodyBytes ?: maximumBodyBytes, incoming.body)
+        val body =
+            RequestBody(this, resolver.serviceOrNull(incoming)?.maximumBodyBytes ?: maximumBodyBytes, incoming.body)
         val gate = OwnerGate(PlainGate(clock))
         val pacer = LinkPacer(routing.linkOutOfRegion(region), clock)
         val attempt = PeerAttempt(link, clock, deadline, body, pacer, gate, sink) { stream ->
@@ -124,4 +125,10 @@
 }
 
 /** Returns the limiter of the link from this VM's region to [region], or `null` if it is the same region. */
-internal fun RoutingState.linkOutOfRegion(region: RegionName) = if (region == this.region) null else limits.linkTo(region)
+internal fun RoutingState.linkOutOfRegion(region: RegionName) = if (region ==
+    this.region
+) {
+    null
+} else {
+    limits.linkTo(region)
+}
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/PeerAttempt.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/PeerAttempt.kt
@@ -139,8 +139,13 @@
         return AttemptResult.NotRun(refusal, RetryReason.PEER_REFUSED)
     }
 
-    private fun unknownAtPeer(reason: UnknownReason): AttemptResult =
-        if (reason in CONNECTION_FAULTS) AttemptResult.Lost(reason, RetryReason.PEER_CONNECTION_LOST) else unknown(reason)
+    private fun unknownAtPeer(reason: UnknownReason): AttemptResult = if (reason in
+        CONNECTION_FAULTS
+    ) {
+        AttemptResult.Lost(reason, RetryReason.PEER_CONNECTION_LOST)
+    } else {
+        unknown(reason)
+    }
 
     private fun brokenOff(): AttemptResult = when {
         begun -> AttemptResult.Ended(ServeResult.Broken)
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/RequestResolver.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/RequestResolver.kt
@@ -1,16 +1,16 @@
 package org.anvilshed.daemon.request
 
 import kotlinx.coroutines.CoroutineScope
+import org.anvilshed.core.KindName
 import org.anvilshed.core.MonotonicTime
 import org.anvilshed.core.RefusalReason
 import org.anvilshed.core.RegionName
+import org.anvilshed.core.ServiceName
 import org.anvilshed.core.bundle.Bundle
 import org.anvilshed.core.bundle.Kind
 import org.anvilshed.core.bundle.Service
 import org.anvilshed.core.execution.RequestIdentifier
 import org.anvilshed.core.isValidName
-import org.anvilshed.core.KindName
-import org.anvilshed.core.ServiceName
 import org.anvilshed.wire.peer.RequestMode
 import kotlin.time.Duration.Companion.milliseconds
 
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/seats/SeatControl.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/seats/SeatControl.kt
@@ -16,8 +16,8 @@
 import org.anvilshed.core.seats.SeatUse
 import org.anvilshed.core.seats.seatIntent
 import org.anvilshed.daemon.limits.SeatLimits
-import org.anvilshed.daemon.limits.WaitingRequests
 import org.anvilshed.daemon.limits.ServiceRuntimes
+import org.anvilshed.daemon.limits.WaitingRequests
 import org.anvilshed.daemon.steering.LocalVm
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.random.Random
@@ -106,12 +106,7 @@
         return Running(loop, control.launch { loop.run() })
     }
 
-    private fun applyZone(
-        zone: ZoneName,
-        use: SeatUse,
-        limits: SeatLimits,
-        runtimes: ServiceRuntimes,
-    ): SeatUsage {
+    private fun applyZone(zone: ZoneName, use: SeatUse, limits: SeatLimits, runtimes: ServiceRuntimes): SeatUsage {
         val targets = bundle?.targets?.values.orEmpty().filter { it.zone == zone }
         val pool = limits.poolOf(zone)
         val usage = pool.update(targets, use, access.clock.now())
--- a/wire/src/test/kotlin/org/anvilshed/wire/peer/PeerLinkTest.kt
+++ b/wire/src/test/kotlin/org/anvilshed/wire/peer/PeerLinkTest.kt
@@ -144,7 +144,7 @@
             val handler = RecordingHandler(CoroutineScope(Dispatchers.Default))
             PeerTransport({ hello("server", version = 2) }, handler).use { accepting ->
                 val port = accepting.listen("127.0.0.1", 0)
-            accepting.startAccepting()
+                accepting.startAccepting()
                 PeerTransport({ hello("client") }, handler).use { dialing ->
                     dialing.dial("127.0.0.1", port, TIMEOUT).shouldBeInstanceOf<DialResult.Failed>()
                 }
--- a/wire/src/test/kotlin/org/anvilshed/wire/peer/PeerMessageTest.kt
+++ b/wire/src/test/kotlin/org/anvilshed/wire/peer/PeerMessageTest.kt
@@ -16,7 +16,6 @@
 import org.anvilshed.core.ZoneName
 import org.anvilshed.core.bundle.ActivationRecord
 import org.anvilshed.core.bundle.BinaryData
-import org.anvilshed.core.bundle.MAXIMUM_BUNDLE_BYTES
 import org.anvilshed.core.bundle.SignOff
 import org.anvilshed.core.bundle.SignedBundle
 import java.nio.ByteBuffer
