--- a/daemon/src/main/kotlin/org/anvilshed/daemon/ControlPlane.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/ControlPlane.kt
@@ -45,14 +45,14 @@
 ) {
     private val local = shared.local
     private val clock = shared.clock
-    private val directory = PeerDirectory(local.identity)
+    private val directory = PeerDirectory(local)
     private val verifier = BundleVerifier(shared.settings.operators, shared.settings.revokedKeys)
     private val bundles = BundleKeeper(verifier, shared.metrics, ::applyBundle)
     private val seats = SeatControl(local, SeatAccess(platform, transport, clock, shared.metrics), random, scope)
     private val heartbeats = HeartbeatSource(shared, bundles, directory, random)
 
     /** Links to the peers. */
-    val network = PeerNetwork(local.identity, directory, transport, clock, scope, thread, heartbeats::next)
+    val network = PeerNetwork(directory, transport, clock, scope, thread, heartbeats::next)
 
     private val steering = SteeringControl(
         local,
@@ -66,7 +66,7 @@
 
     /** Messages of peers that belong to no request. */
     val messages = PeerMessages(
-        PeerMessageParts(directory, network, seats, bundles, shared.targets, shared.peerRoutes),
+        PeerMessageParts(directory, network, seats, bundles, shared.targets, shared.peerRoutes, shared.metrics),
         clock,
         scope,
         onPeerChanged = steering::refresh,
@@ -87,7 +87,7 @@
     private val watch = PlatformWatch(platform, bundles, clock, shared.metrics) {
         housekeeping.isWatcher || bundles.inForce == null
     }
-    private val vmList = VmListPoll(platform, shared.targets, heartbeats, shared.metrics, clock) {
+    private val vmList = VmListPoll(platform, shared.targets, heartbeats, shared.metrics, clock, directory) {
         housekeeping.isWatcher
     }
 
@@ -103,7 +103,7 @@
     /** Starts to work; peers have to be accepted from now on. */
     fun start() {
         shared.seats = seats
-        network.addConfigured(shared.settings.peers)
+        shared.settings.peers.forEach { directory.addConfigured(it, clock.now()) }
         scope.launch { housekeeping.run() }
         scope.launch { watch.run() }
         scope.launch { vmList.run() }
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/control/BundleKeeper.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/control/BundleKeeper.kt
@@ -10,6 +10,7 @@
 import org.anvilshed.core.bundle.BundleVerifier
 import org.anvilshed.core.bundle.SignedBundle
 import org.anvilshed.core.bundle.VerifiedBundle
+import org.anvilshed.core.membership.AdvertisedBundle
 import org.anvilshed.daemon.metrics.DaemonMetrics
 
 private val logger = KotlinLogging.logger {}
@@ -34,8 +35,11 @@
 
     val inForce: VerifiedBundle? get() = state.inForce
 
-    /** Takes over [offered] if it is valid and newer than the bundle in force. */
-    suspend fun offer(offered: SignedBundle, source: String): Unit = offers.withLock {
+    /** Bundle in force as heartbeats tell it. */
+    val advertised: AdvertisedBundle? get() = inForce?.let { AdvertisedBundle(it.version, it.digest) }
+
+    /** Takes over [offered] if it is valid and newer than the bundle in force; returns whether it was not rejected. */
+    suspend fun offer(offered: SignedBundle, source: String): Boolean = offers.withLock {
         val decision = withContext(Dispatchers.Default) { state.offer(offered, verifier) }
         state = decision.state
         when (val outcome = decision.outcome) {
@@ -52,5 +56,6 @@
                 lastRejected = offered
             }
         }
+        decision.outcome !is BundleOutcome.Rejected
     }
 }
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/control/HeartbeatSource.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/control/HeartbeatSource.kt
@@ -1,12 +1,12 @@
 package org.anvilshed.daemon.control
 
 import org.anvilshed.core.TargetName
+import org.anvilshed.core.membership.PeerContact
 import org.anvilshed.core.routing.TargetState
 import org.anvilshed.daemon.SharedState
 import org.anvilshed.daemon.peers.PeerDirectory
 import org.anvilshed.wire.peer.DeclaredState
 import org.anvilshed.wire.peer.Heartbeat
-import org.anvilshed.wire.peer.KnownPeer
 import org.anvilshed.wire.peer.ServiceLoad
 import kotlin.random.Random
 
@@ -38,8 +38,7 @@
     fun next(sequence: Long): Heartbeat = Heartbeat(
         sequence = sequence,
         state = state,
-        bundleVersion = bundles.state.version,
-        bundleDigest = bundles.inForce?.digest?.value.orEmpty(),
+        bundle = bundles.advertised,
         identifierWindow = shared.windows.currentWindow(clock.now()),
         loads = loads(),
         targetsLeaving = (shared.targets.drainingSeen() + leavingInVmList).toList(),
@@ -71,19 +70,5 @@
     private fun TargetState.freeSlots(owned: Int, now: org.anvilshed.core.MonotonicTime): Int =
         minOf(owned, slowStartLimit(now) - inFlight).coerceAtLeast(0)
 
-    private fun knownPeers(): List<KnownPeer> {
-        val now = clock.now()
-        return directory.peers.values.shuffled(random).take(KNOWN_PEERS_PER_HEARTBEAT).map { peer ->
-            KnownPeer(
-                vm = peer.vm,
-                zone = peer.zone,
-                region = peer.region,
-                callers = peer.callers,
-                peers = peer.peers,
-                state = peer.state,
-                identifierWindow = peer.identifierWindow,
-                ageMilliseconds = (now - peer.heardAt).inWholeMilliseconds,
-            )
-        }
-    }
+    private fun knownPeers(): List<PeerContact> = directory.contacts().shuffled(random).take(KNOWN_PEERS_PER_HEARTBEAT)
 }
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/control/Housekeeping.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/control/Housekeeping.kt
@@ -2,14 +2,14 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
-import org.anvilshed.core.VmName
+import org.anvilshed.core.VmIdentity
 import org.anvilshed.core.execution.ExecutionRecords
 import org.anvilshed.core.lifecycle.DrainState
+import org.anvilshed.core.membership.PeerState
 import org.anvilshed.core.routing.TargetRegistry
 import org.anvilshed.daemon.CONTROL_TICK
 import org.anvilshed.daemon.DaemonClock
 import org.anvilshed.daemon.peers.PeerDirectory
-import org.anvilshed.daemon.peers.PeerLiveness
 import org.anvilshed.daemon.peers.PeerNetwork
 import org.anvilshed.daemon.seats.SeatControl
 import org.anvilshed.daemon.steering.LocalVm
@@ -32,7 +32,7 @@
     private val demand: () -> Double,
 ) {
     private val clockGuard = ClockGuard(clock)
-    private var reportedStates: Map<VmName, String> = emptyMap()
+    private var reportedStates: Map<VmIdentity, PeerState> = emptyMap()
 
     /** Whether this VM is one of the watchers of its zone; refreshed once a tick. */
     @Volatile
@@ -66,30 +66,21 @@
             logger.warn { "the clocks disagree: all seats are given up until they are renewed" }
             seats.suspendRights()
         }
-        directory.forgetSilent(clock.now())
-        val zones = network.knownZones()
-        network.applyNeighbors(neighborsOf(local.name, local.zone, zones))
+        network.applyNeighbors(directory.neighbors(clock.now()))
         records.expire(clock.now())
         seats.changeDemand(demand())
     }
 
     private fun selectWatchers() {
-        val now = clock.now()
-        val live = directory.peers.values
-            .filter { it.zone == local.zone && !it.isLeaving && it.livenessAt(now) != PeerLiveness.UNREACHABLE }
-            .map { it.vm.name }
-        val watchers = watchersOf(local.zone, if (drain.isLeaving) live else live + local.name)
+        val watchers = directory.watchers(local.zone, drain.isLeaving, clock.now())
         isWatcher = local.name in watchers
         isFirstWatcher = watchers.firstOrNull() == local.name
     }
 
     private fun logPeerChanges() {
-        val now = clock.now()
-        val states = directory.peers.mapValues { (_, peer) ->
-            if (peer.isLeaving) "leaving" else peer.livenessAt(now).label
-        }
-        for ((name, state) in states) {
-            if (reportedStates[name] != state) logger.info { "peer $name is $state" }
+        val states = directory.peers.associate { it.vm to it.state }
+        for ((vm, state) in states) {
+            if (reportedStates[vm] != state) logger.info { "peer $vm is ${state.name.lowercase()}" }
         }
         reportedStates = states
     }
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/control/PeerMessages.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/control/PeerMessages.kt
@@ -2,9 +2,15 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
+import org.anvilshed.core.MonotonicTime
+import org.anvilshed.core.bundle.BundleRejection
+import org.anvilshed.core.membership.AdvertisedBundle
+import org.anvilshed.core.membership.DisseminationAction
+import org.anvilshed.core.membership.DisseminationState
 import org.anvilshed.core.routing.PeerRegistry
 import org.anvilshed.core.routing.TargetRegistry
 import org.anvilshed.daemon.DaemonClock
+import org.anvilshed.daemon.metrics.DaemonMetrics
 import org.anvilshed.daemon.peers.PeerDirectory
 import org.anvilshed.daemon.peers.PeerNetwork
 import org.anvilshed.daemon.seats.SeatControl
@@ -23,6 +29,7 @@
     val bundles: BundleKeeper,
     val targets: TargetRegistry,
     val peerRoutes: PeerRegistry,
+    val metrics: DaemonMetrics,
 )
 
 /** Handles the messages of peers that belong to no request, on the control thread. */
@@ -32,6 +39,8 @@
     private val control: CoroutineScope,
     private val onPeerChanged: () -> Unit,
 ) {
+    private val dissemination = DisseminationState()
+
     /** Handles [message] in the order of arrival; returns at once. */
     fun accept(link: PeerLink, message: PeerMessage) {
         control.launch {
@@ -42,7 +51,7 @@
 
                 is BundleRequest -> sendBundle(link, message)
 
-                is BundleReply -> parts.bundles.offer(message.bundle, "peer ${link.remote.vm.name}")
+                is BundleReply -> offer(link, message)
 
                 // Greetings are read by the link; messages of streams do not come here.
                 else -> Unit
@@ -55,13 +64,31 @@
         val vm = link.remote.vm
         val promises = parts.seats.promiseTo(vm, now)
         link.sendControl(HeartbeatAck(message.sequence, promises))
-        val before = parts.directory.peers[vm.name]
-        parts.directory.heard(link.remote, message, now)
-        message.knownPeers.forEach { parts.directory.learn(it, now) }
+        val stateChanged = parts.directory.heard(link.remote, message, now)
         parts.targets.applyPeerAnnouncement(vm.name, message.targetsLeaving.toSet())
         for (load in message.loads) parts.peerRoutes.routeOrNull(vm, load.service)?.recordReport(load.freeSlots, now)
-        if (message.bundleVersion > parts.bundles.state.version) link.sendControl(BundleRequest(message.bundleVersion))
-        if (parts.directory.peers[vm.name]?.state != before?.state) onPeerChanged()
+        disseminate(link, message.bundle, now)
+        if (stateChanged) onPeerChanged()
+    }
+
+    private fun disseminate(link: PeerLink, theirs: AdvertisedBundle?, now: MonotonicTime) {
+        val sender = link.remote.vm.name
+        when (val action = dissemination.onHeartbeat(sender, theirs, parts.bundles.advertised, now)) {
+            DisseminationAction.None -> Unit
+            DisseminationAction.AnnounceOwn -> parts.network.announceTo(sender)
+            is DisseminationAction.RequestBundle -> link.sendControl(BundleRequest(action.version))
+            is DisseminationAction.OtherDigest -> parts.metrics.recordRejection(BundleRejection.OTHER_DIGEST)
+        }
+    }
+
+    private suspend fun offer(link: PeerLink, message: BundleReply) {
+        val sender = link.remote.vm.name
+        val requested = message.version
+        if (parts.bundles.offer(message.bundle, "peer $sender")) {
+            dissemination.onAccepted(parts.bundles.state.version)
+        } else {
+            dissemination.onRejected(sender, requested, clock.now())
+        }
     }
 
     private fun acknowledged(link: PeerLink, message: HeartbeatAck) {
@@ -74,6 +101,6 @@
 
     private fun sendBundle(link: PeerLink, message: BundleRequest) {
         val inForce = parts.bundles.inForce ?: return
-        if (inForce.version >= message.version) link.sendControl(BundleReply(inForce.signed))
+        if (inForce.version >= message.version) link.sendControl(BundleReply(message.version, inForce.signed))
     }
 }
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/control/PlatformWatch.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/control/PlatformWatch.kt
@@ -2,13 +2,12 @@
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
-import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import org.anvilshed.core.MonotonicTime
-import org.anvilshed.core.bundle.SignedBundle
 import org.anvilshed.daemon.DaemonClock
 import org.anvilshed.daemon.metrics.DaemonMetrics
+import org.anvilshed.wire.platform.BUNDLES_PREFIX
+import org.anvilshed.wire.platform.BundleStore
+import org.anvilshed.wire.platform.CURRENT_BUNDLE_KEY
 import org.anvilshed.wire.platform.PlatformClient
 import org.anvilshed.wire.platform.PlatformResult
 import kotlin.time.Duration
@@ -16,9 +15,6 @@
 import kotlin.time.Duration.Companion.seconds
 
 private val logger = KotlinLogging.logger {}
-private const val PREFIX = "bundles/"
-private const val CURRENT_KEY = "bundles/current"
-private const val VERSION_DIGITS = 8
 private val WATCH_TIMEOUT: Duration = 5.seconds
 private val FAILURE_DELAY: Duration = 500.milliseconds
 private val IDLE_DELAY: Duration = 200.milliseconds
@@ -34,7 +30,7 @@
     private val metrics: DaemonMetrics,
     private val mayWatch: () -> Boolean,
 ) {
-    private val json = Json { ignoreUnknownKeys = true }
+    private val store = BundleStore(platform)
     private var reachable = true
 
     /** When the platform last answered, or `null`. */
@@ -58,15 +54,15 @@
     /** Reads the current bundle and then follows changes. Returns `false` after a failure. */
     private suspend fun follow(): Boolean {
         // The list comes first, so that no change between the read and the watch is missed.
-        val listing = platform.list(PREFIX).orNull() ?: return false
+        val listing = platform.list(BUNDLES_PREFIX).orNull() ?: return false
         if (!readCurrent()) return false
         var revision = listing.revision
         while (mayWatch()) {
-            when (val result = platform.watch(PREFIX, revision, WATCH_TIMEOUT)) {
+            when (val result = platform.watch(BUNDLES_PREFIX, revision, WATCH_TIMEOUT)) {
                 is PlatformResult.Success -> {
                     answered()
                     revision = result.value.revision
-                    if (result.value.events.any { it.key == CURRENT_KEY } && !readCurrent()) return false
+                    if (result.value.events.any { it.key == CURRENT_BUNDLE_KEY } && !readCurrent()) return false
                 }
 
                 PlatformResult.RevisionTooOld -> return true
@@ -78,17 +74,15 @@
     }
 
     private suspend fun readCurrent(): Boolean {
-        val current = when (val result = platform.get(CURRENT_KEY)) {
-            is PlatformResult.Success -> decode(result.value.body, CurrentBundleObject.serializer())
+        val current = when (val result = store.readCurrent()) {
+            is PlatformResult.Success -> result.value.value
             PlatformResult.NotFound -> return true.also { answered() }
             is PlatformResult.Failure -> return failed(result)
         }
         answered()
-        val version = current?.version ?: return true
-        if (version <= bundles.state.version) return true
-        val key = PREFIX + version.toString().padStart(VERSION_DIGITS, '0')
-        val record = platform.get(key).orNull() ?: return false
-        decode(record.body, SignedBundle.serializer())?.let { bundles.offer(it, "the platform") }
+        if (current.version <= bundles.state.version) return true
+        val record = store.readRecord(current.version).orNull() ?: return false
+        bundles.offer(record.value, "the platform")
         return true
     }
 
@@ -109,14 +103,4 @@
         reachable = false
         return false
     }
-
-    private fun <T> decode(body: ByteArray, serializer: kotlinx.serialization.KSerializer<T>): T? = try {
-        json.decodeFromString(serializer, body.decodeToString())
-    } catch (fault: SerializationException) {
-        logger.error { "an object of the platform cannot be decoded: ${fault.message}" }
-        null
-    }
 }
-
-@Serializable
-private data class CurrentBundleObject(val version: Long)
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/control/StatusSource.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/control/StatusSource.kt
@@ -1,5 +1,6 @@
 package org.anvilshed.daemon.control
 
+import org.anvilshed.core.membership.PeerState
 import org.anvilshed.core.routing.TargetState
 import org.anvilshed.core.seats.SeatUse
 import org.anvilshed.daemon.SharedState
@@ -8,7 +9,6 @@
 import org.anvilshed.daemon.http.StatusReport
 import org.anvilshed.daemon.http.TargetStatus
 import org.anvilshed.daemon.peers.PeerDirectory
-import org.anvilshed.daemon.peers.PeerLiveness
 import org.anvilshed.daemon.seats.SeatControl
 
 /** Builds the status report of this process; may be called by any thread. */
@@ -25,7 +25,7 @@
 
     fun report(): StatusReport {
         val now = clock.now()
-        val peers = directory.peers.values.sortedBy { it.vm.name }
+        val peers = directory.peers
         return StatusReport(
             name = local.name.value,
             incarnation = local.identity.incarnation.toString(),
@@ -40,7 +40,7 @@
                     name = peer.vm.name.value,
                     incarnation = peer.vm.incarnation.toString(),
                     zone = peer.zone.value,
-                    state = if (peer.isLeaving) "leaving" else peer.livenessAt(now).label,
+                    state = peer.state.name.lowercase(),
                     ageMilliseconds = (now - peer.heardAt).inWholeMilliseconds,
                     bundleVersion = peer.bundleVersion,
                 )
@@ -49,7 +49,9 @@
             requestsInFlight = shared.drain.requestsInFlight,
             records = shared.records.recordCount,
             isPlatformStale = isPlatformStale(),
-            staleMeasurements = peers.filter { it.livenessAt(now) != PeerLiveness.ALIVE }.map { it.vm.name.value },
+            staleMeasurements = peers.filter {
+                it.state != PeerState.ALIVE && it.state != PeerState.LEAVING
+            }.map { it.vm.name.value },
         )
     }
 
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/control/SteeringControl.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/control/SteeringControl.kt
@@ -67,14 +67,14 @@
 
     /** Applies the present state of the peers; to be called after each change and every 100 ms or so. */
     fun refresh() {
+        peers.refresh(clock.now())
         val inForce = verified ?: return
-        val now = clock.now()
-        val known = peers.peers.values.sortedBy { it.vm.name }
+        val known = peers.peers
         val plansChanged = refreshPlans(inForce, known)
         for (peer in known) {
-            parts.peerRoutes.setUsable(peer.vm, peer.isServingAt(now) && links.linkTo(peer.vm) != null)
+            parts.peerRoutes.setUsable(peer.vm, peer.isServing && links.linkTo(peer.vm) != null)
         }
-        val present = known.filter { it.isServingAt(now) }.map { it.toCandidate() } + listOfNotNull(ownCandidate())
+        val present = known.filter { it.isServing }.map { it.toCandidate() } + listOfNotNull(ownCandidate())
         val candidatesChanged = present != candidates
         if (candidatesChanged) {
             candidates = present
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/control/VmListPoll.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/control/VmListPoll.kt
@@ -2,12 +2,18 @@
 
 import kotlinx.coroutines.delay
 import org.anvilshed.core.TargetName
+import org.anvilshed.core.VmName
+import org.anvilshed.core.ZoneName
 import org.anvilshed.core.isValidName
+import org.anvilshed.core.membership.PeerContact
 import org.anvilshed.core.routing.TargetRegistry
 import org.anvilshed.daemon.DaemonClock
 import org.anvilshed.daemon.metrics.DaemonMetrics
+import org.anvilshed.daemon.peers.PeerDirectory
+import org.anvilshed.daemon.settings.parseAddressOrNull
 import org.anvilshed.wire.platform.PlatformClient
 import org.anvilshed.wire.platform.PlatformResult
+import org.anvilshed.wire.platform.PlatformVm
 import org.anvilshed.wire.platform.PlatformVmRole
 import org.anvilshed.wire.platform.PlatformVmState
 import kotlin.time.Duration.Companion.milliseconds
@@ -24,6 +30,7 @@
     private val heartbeats: HeartbeatSource,
     private val metrics: DaemonMetrics,
     private val clock: DaemonClock,
+    private val directory: PeerDirectory,
     private val mayPoll: () -> Boolean,
 ) {
     suspend fun run() {
@@ -46,6 +53,7 @@
                     it.role == PlatformVmRole.TARGET && it.state == PlatformVmState.LEAVING && isValidName(it.name)
                 }
                 apply(leaving.mapTo(HashSet()) { TargetName(it.name) })
+                directory.replaceListed(result.value.mapNotNull { it.toContactOrNull() }, clock.now())
             }
 
             // The last known list stays in use.
@@ -57,4 +65,10 @@
         heartbeats.leavingInVmList = leaving
         targets.applyVmList(leaving)
     }
+
+    private fun PlatformVm.toContactOrNull(): PeerContact? {
+        val isUsable = role == PlatformVmRole.ENTRY && isValidName(name) && isValidName(zone)
+        val peerAddress = parseAddressOrNull(address, lowestPort = 1)
+        return if (isUsable && peerAddress != null) PeerContact(VmName(name), ZoneName(zone), address) else null
+    }
 }
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/peers/PeerDirectory.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/peers/PeerDirectory.kt
@@ -3,94 +3,108 @@
 import org.anvilshed.core.MonotonicTime
 import org.anvilshed.core.VmIdentity
 import org.anvilshed.core.VmName
+import org.anvilshed.core.ZoneName
+import org.anvilshed.core.membership.PeerContact
+import org.anvilshed.core.membership.PeerState
+import org.anvilshed.core.membership.PeerView
+import org.anvilshed.core.membership.selectNeighbors
+import org.anvilshed.core.membership.selectWatchers
+import org.anvilshed.daemon.settings.PeerSettings
+import org.anvilshed.daemon.steering.LocalVm
 import org.anvilshed.wire.peer.DeclaredState
 import org.anvilshed.wire.peer.Heartbeat
 import org.anvilshed.wire.peer.Hello
-import org.anvilshed.wire.peer.KnownPeer
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-
-/** Processes of former incarnations that are remembered, so that their late messages change nothing. */
-private const val REMEMBERED_PROCESSES = 1_000
-
-/** Time after which a process that gives no sign of life is forgotten. */
-private val FORGET_AGE = (10 * 60_000).milliseconds
 
 /**
- * Known peers by name, one process each. Changed by one thread; [peers] may be read by any.
- *
- * A process that declared that it is leaving stays leaving, and a process that was replaced does not come back.
+ * Peers and what they said about themselves. Changed by the control thread; [peers] may be read by any thread.
  */
-internal class PeerDirectory(private val self: VmIdentity) {
-    private val replaced = LinkedHashSet<VmIdentity>()
+internal class PeerDirectory(private val local: LocalVm) {
+    private class Details(val hello: Hello) {
+        var declared = DeclaredState.STARTING
+        var identifierWindow = 0L
+        var bundleVersion = 0L
+        var roundTrip: Duration? = null
+    }
+
+    private val view = PeerView(local.identity)
+    private val details = HashMap<VmIdentity, Details>()
+    private val self = PeerContact(local.name, local.zone, local.peers, local.region)
 
-    /** Snapshot of the known peers. */
+    /** Processes that were heard, as of the last [refresh]. */
     @Volatile
-    var peers: Map<VmName, PeerInfo> = emptyMap()
+    var peers: List<PeerInfo> = emptyList()
         private set
 
-    /** Records a sign of life of the process that sent [hello] on a link. */
+    fun addConfigured(peer: PeerSettings, now: MonotonicTime) {
+        view.addSeed(PeerContact(peer.name, peer.zone, peer.address.toString(), peer.region), now)
+    }
+
+    /** Records an acknowledgement, or a greeting on a new link, of the process that sent [hello]. */
     fun heard(hello: Hello, now: MonotonicTime) {
-        val known = peers[hello.vm.name]?.takeIf { it.vm == hello.vm }
-        put(known?.copy(heardAt = now) ?: hello.toInfo(now))
+        detailsOf(hello)
+        view.heard(hello.toContact(), hello.vm.incarnation, isLeaving = false, now)
     }
 
-    /** Records a heartbeat of the process that sent [hello] on the same link. */
-    fun heard(hello: Hello, heartbeat: Heartbeat, now: MonotonicTime) {
-        val known = peers[hello.vm.name]?.takeIf { it.vm == hello.vm } ?: hello.toInfo(now)
-        put(
-            known.copy(
-                state = if (known.isLeaving) DeclaredState.LEAVING else heartbeat.state,
-                identifierWindow = maxOf(known.identifierWindow, heartbeat.identifierWindow),
-                bundleVersion = heartbeat.bundleVersion,
-                heardAt = now,
-            ),
-        )
+    /** Records a heartbeat of the process that sent [hello]. Returns whether its state has changed. */
+    fun heard(hello: Hello, heartbeat: Heartbeat, now: MonotonicTime): Boolean {
+        val known = detailsOf(hello)
+        val changed = known.declared != heartbeat.state
+        known.declared = heartbeat.state
+        known.identifierWindow = maxOf(known.identifierWindow, heartbeat.identifierWindow)
+        known.bundleVersion = heartbeat.bundle?.version ?: 0
+        view.heard(hello.toContact(), hello.vm.incarnation, heartbeat.state == DeclaredState.LEAVING, now)
+        heartbeat.knownPeers.forEach { view.learn(it, now) }
+        return changed
     }
 
+    /** Records that a heartbeat was sent to [name]. */
+    fun attempted(name: VmName, now: MonotonicTime): Unit = view.attempted(name, now)
+
     /** Records the time between a heartbeat to [vm] and its acknowledgement. */
     fun measured(vm: VmIdentity, roundTrip: Duration) {
-        val known = peers[vm.name]?.takeIf { it.vm == vm } ?: return
-        put(known.copy(roundTrip = minOf(known.roundTrip ?: roundTrip, roundTrip)))
+        val known = details[vm] ?: return
+        known.roundTrip = minOf(known.roundTrip ?: roundTrip, roundTrip)
     }
 
-    /** Takes over what a peer knows about other processes, unless this VM knows something newer. */
-    fun learn(known: KnownPeer, now: MonotonicTime) {
-        if (known.vm.name == self.name) return
-        val heardAt = now - known.ageMilliseconds.coerceAtLeast(0).milliseconds
-        val present = peers[known.vm.name]
-        if (present == null || (present.vm != known.vm && heardAt > present.heardAt)) {
-            if (now - heardAt < FORGET_AGE) put(known.toInfo(heardAt))
-        } else if (present.vm == known.vm) {
-            put(
-                present.copy(
-                    state = if (known.state == DeclaredState.LEAVING) DeclaredState.LEAVING else present.state,
-                    identifierWindow = maxOf(present.identifierWindow, known.identifierWindow),
-                    heardAt = maxOf(present.heardAt, heardAt),
-                ),
-            )
+    /** Replaces the contacts that the platform's VM list names. */
+    fun replaceListed(contacts: List<PeerContact>, now: MonotonicTime): Unit = view.replaceListed(contacts, now)
+
+    /** Takes the snapshot [peers] at [now] and forgets old processes. */
+    fun refresh(now: MonotonicTime) {
+        view.forgetOld(now)
+        peers = view.peers(now).mapNotNull { peer ->
+            val incarnation = peer.incarnation ?: return@mapNotNull null
+            val vm = VmIdentity(peer.contact.name, incarnation)
+            details[vm]?.toInfo(peer.state, peer.lastHeard ?: now)
         }
+        details.keys.retainAll(peers.mapTo(HashSet()) { it.vm })
     }
 
-    /** Forgets processes that have been silent for long. */
-    fun forgetSilent(now: MonotonicTime) {
-        val remaining = peers.filterValues { now - it.heardAt < FORGET_AGE }
-        if (remaining.size != peers.size) peers = remaining
-    }
+    /** Returns the peers to which heartbeats are sent. */
+    fun neighbors(now: MonotonicTime): List<PeerContact> =
+        selectNeighbors(self, view.contacts(), view.neighborCandidates(now))
 
-    private fun put(info: PeerInfo) {
-        if (info.vm.name == self.name || info.vm in replaced) return
-        val present = peers[info.vm.name]
-        if (present != null && present.vm != info.vm) {
-            replaced += present.vm
-            if (replaced.size > REMEMBERED_PROCESSES) replaced.remove(replaced.first())
-        }
-        peers = peers + (info.vm.name to info)
-    }
-}
+    /** Returns the VMs of [zone] that watch the platform, the first one writing the status of the zone. */
+    fun watchers(zone: ZoneName, isLeaving: Boolean, now: MonotonicTime): List<VmName> =
+        selectWatchers(zone, view.liveNames(zone, now) + listOfNotNull(local.name.takeIf { !isLeaving }))
 
-private fun Hello.toInfo(now: MonotonicTime) =
-    PeerInfo(vm, zone, region, callers, peers, DeclaredState.STARTING, identifierWindow = 0, heardAt = now)
+    fun contacts(): List<PeerContact> = view.contacts()
+
+    private fun detailsOf(hello: Hello): Details = details.getOrPut(hello.vm) { Details(hello) }
+
+    private fun Details.toInfo(state: PeerState, heardAt: MonotonicTime) = PeerInfo(
+        vm = hello.vm,
+        zone = hello.zone,
+        region = hello.region,
+        callers = hello.callers,
+        state = state,
+        declared = declared,
+        identifierWindow = identifierWindow,
+        bundleVersion = bundleVersion,
+        heardAt = heardAt,
+        roundTrip = roundTrip,
+    )
+}
 
-private fun KnownPeer.toInfo(heardAt: MonotonicTime) =
-    PeerInfo(vm, zone, region, callers, peers, state, identifierWindow, heardAt)
+private fun Hello.toContact() = PeerContact(vm.name, zone, peers, region)
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/peers/PeerLinks.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/peers/PeerLinks.kt
@@ -1,6 +1,5 @@
 package org.anvilshed.daemon.peers
 
-import org.anvilshed.core.RegionName
 import org.anvilshed.core.VmIdentity
 import org.anvilshed.core.VmName
 import org.anvilshed.wire.peer.PeerLink
@@ -10,12 +9,9 @@
     /** Returns the open link to the process [vm], or `null`. */
     fun linkTo(vm: VmIdentity): PeerLink?
 
-    /** Returns the newest known process of the VM [name], or `null` if none was ever heard of. */
+    /** Returns the process that was heard last of the VM [name], or `null` if none was ever heard of. */
     fun newestProcessOf(name: VmName): VmIdentity?
 
-    /** Returns the region of the VM [name], or `null` if it is not known. */
-    fun regionOf(name: VmName): RegionName?
-
     /**
      * Returns a link to the VM [name], which may turn out to run another process; connects if there is none. A link
      * that is not kept, see [isKept], is to be closed after its use.
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/peers/PeerNetwork.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/peers/PeerNetwork.kt
@@ -4,12 +4,10 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
-import org.anvilshed.core.RegionName
 import org.anvilshed.core.VmIdentity
 import org.anvilshed.core.VmName
-import org.anvilshed.core.ZoneName
+import org.anvilshed.core.membership.PeerContact
 import org.anvilshed.daemon.DaemonClock
-import org.anvilshed.daemon.settings.PeerSettings
 import org.anvilshed.daemon.settings.SocketAddress
 import org.anvilshed.daemon.settings.parseAddressOrNull
 import org.anvilshed.wire.peer.DialResult
@@ -25,7 +23,6 @@
  * @param control scope and context of the control thread.
  */
 internal class PeerNetwork(
-    private val self: VmIdentity,
     private val directory: PeerDirectory,
     private val transport: PeerTransport,
     private val clock: DaemonClock,
@@ -36,40 +33,28 @@
     private class Running(val connector: PeerConnector, val job: Job)
 
     private val running = ConcurrentHashMap<VmName, Running>()
-    private val configured = ConcurrentHashMap<VmName, PeerSettings>()
-
-    /** Adds a peer whose process is not known yet. */
-    fun addConfigured(peers: Collection<PeerSettings>) {
-        peers.filter { it.name != self.name }.forEach { configured[it.name] = it }
-    }
-
-    /** Names and addresses of all peers that could be connected to. */
-    fun knownAddresses(): Map<VmName, SocketAddress> {
-        val learned = directory.peers.mapNotNull { (name, info) ->
-            parseAddressOrNull(info.peers, lowestPort = 1)?.let { name to it }
-        }
-        return configured.mapValues { it.value.address } + learned
-    }
-
-    /** Zones of all peers that could be connected to. */
-    fun knownZones(): Map<VmName, ZoneName> =
-        configured.mapValues { it.value.zone } + directory.peers.mapValues { it.value.zone }
 
     /** Connects to [neighbors] and to nobody else. */
-    fun applyNeighbors(neighbors: Set<VmName>) {
-        val addresses = knownAddresses()
+    fun applyNeighbors(neighbors: List<PeerContact>) {
+        val wanted = neighbors.mapNotNull { peer ->
+            parseAddressOrNull(peer.address, lowestPort = 1)?.let { peer.name to it }
+        }.toMap()
         for ((name, entry) in running) {
-            if (name !in neighbors || addresses[name] != entry.connector.address) {
+            if (wanted[name] != entry.connector.address) {
                 entry.job.cancel()
                 running.remove(name)
             }
         }
-        for (name in neighbors) {
-            val address = addresses[name]
-            if (!running.containsKey(name) && address != null) running[name] = start(address)
+        for ((name, address) in wanted) {
+            if (!running.containsKey(name)) running[name] = start(name, address)
         }
     }
 
+    /** Sends a heartbeat to [name] at once if it is a neighbor. */
+    fun announceTo(name: VmName) {
+        running[name]?.connector?.sendNow()
+    }
+
     /** Sends heartbeats to all neighbors at once. */
     fun announce(): Unit = running.values.forEach { it.connector.sendNow() }
 
@@ -79,12 +64,12 @@
     override fun linkTo(vm: VmIdentity): PeerLink? =
         running[vm.name]?.connector?.link?.takeIf { it.isOpen && it.remote.vm == vm }
 
-    override fun newestProcessOf(name: VmName): VmIdentity? = directory.peers[name]?.vm
-
-    override fun regionOf(name: VmName): RegionName? = directory.peers[name]?.region ?: configured[name]?.region
+    override fun newestProcessOf(name: VmName): VmIdentity? =
+        directory.peers.filter { it.vm.name == name }.maxByOrNull { it.heardAt }?.vm
 
     override suspend fun connectTo(name: VmName): PeerLink? = withContext(controlContext) {
-        val address = knownAddresses()[name]
+        val contact = directory.contacts().find { it.name == name }
+        val address = contact?.let { parseAddressOrNull(it.address, lowestPort = 1) }
         val present = running[name]?.connector?.link?.takeIf { it.isOpen }
         when {
             present != null || address == null -> present
@@ -94,8 +79,12 @@
 
     override fun isKept(link: PeerLink): Boolean = connectorOf(link) != null
 
-    private fun start(address: SocketAddress): Running {
-        val connector = PeerConnector(address, transport, clock, nextHeartbeat) { link ->
+    private fun start(name: VmName, address: SocketAddress): Running {
+        val heartbeat = { sequence: Long ->
+            directory.attempted(name, clock.now())
+            nextHeartbeat(sequence)
+        }
+        val connector = PeerConnector(address, transport, clock, heartbeat) { link ->
             directory.heard(link.remote, clock.now())
         }
         return Running(connector, control.launch { connector.run() })
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/OwnerForwarder.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/OwnerForwarder.kt
@@ -8,6 +8,7 @@
 import org.anvilshed.core.RegionName
 import org.anvilshed.core.ServiceName
 import org.anvilshed.core.UnknownReason
+import org.anvilshed.core.VmIdentity
 import org.anvilshed.core.execution.RequestIdentifier
 import org.anvilshed.core.isValidName
 import org.anvilshed.daemon.limits.LinkPacer
@@ -40,12 +41,10 @@
         if (!isValidName(incoming.service)) return ServeResult.NotRun(RefusalReason.UNKNOWN_SERVICE)
         if (incoming.kind?.let(::isValidName) == false) return ServeResult.NotRun(RefusalReason.UNKNOWN_KIND)
         val owner = identifier.owner
-        val newest = links.newestProcessOf(owner.name)
-        if (newest != null && newest != owner) return ServeResult.Unknown(UnknownReason.OWNER_REPLACED)
         val deadline = deadlineOf(incoming)
         val link = links.linkTo(owner)
             ?: withTimeoutOrNull(clock.remaining(deadline)) { links.connectTo(owner.name) }
-            ?: return ServeResult.Unknown(UnknownReason.OWNER_UNREACHABLE)
+            ?: return ServeResult.Unknown(reasonWithoutLink(owner))
         try {
             if (link.remote.vm != owner) return ServeResult.Unknown(UnknownReason.OWNER_REPLACED)
             return send(incoming, identifier, link, deadline, sink)
@@ -54,6 +53,11 @@
         }
     }
 
+    private fun reasonWithoutLink(owner: VmIdentity): UnknownReason {
+        val newest = links.newestProcessOf(owner.name)
+        return if (newest == null || newest == owner) UnknownReason.OWNER_UNREACHABLE else UnknownReason.OWNER_REPLACED
+    }
+
     private fun deadlineOf(incoming: IncomingRequest): MonotonicTime {
         val deadline = resolver.deadlineOf(incoming)
         return if (deadline > incoming.arrivedAt) deadline else incoming.arrivedAt + WAIT_WITHOUT_DEADLINE
--- a/wire/src/main/kotlin/org/anvilshed/wire/peer/PeerMessage.kt
+++ b/wire/src/main/kotlin/org/anvilshed/wire/peer/PeerMessage.kt
@@ -13,6 +13,8 @@
 import org.anvilshed.core.VmIdentity
 import org.anvilshed.core.ZoneName
 import org.anvilshed.core.bundle.SignedBundle
+import org.anvilshed.core.membership.AdvertisedBundle
+import org.anvilshed.core.membership.PeerContact
 
 /** Version of the peer protocol; a link between processes of different versions is not established. */
 public const val PROTOCOL_VERSION: Int = 1
@@ -62,37 +64,24 @@
     public val estimatedWaitMilliseconds: Long,
 )
 
-/** A process known to the sender; [ageMilliseconds] is the time since the sender heard from it. */
-@Serializable
-public data class KnownPeer(
-    public val vm: VmIdentity,
-    public val zone: ZoneName,
-    public val region: RegionName,
-    public val callers: String,
-    public val peers: String,
-    public val state: DeclaredState,
-    public val identifierWindow: Long,
-    public val ageMilliseconds: Long,
-)
-
 /**
  * Periodic report of the dialing process.
  *
- * @property bundleVersion version of the bundle in force, 0 if there is none.
+ * @property bundle bundle in force, if any.
  * @property identifierWindow number of the sender's current identifier window.
  * @property targetsLeaving targets that the sender has seen leaving.
+ * @property knownPeers some of the peers that the sender knows.
  */
 @Serializable
 @SerialName("heartbeat")
 public data class Heartbeat(
     public val sequence: Long,
     public val state: DeclaredState,
-    public val bundleVersion: Long,
-    public val bundleDigest: String,
+    public val bundle: AdvertisedBundle?,
     public val identifierWindow: Long,
     public val loads: List<ServiceLoad>,
     public val targetsLeaving: List<TargetName>,
-    public val knownPeers: List<KnownPeer>,
+    public val knownPeers: List<PeerContact>,
 ) : PeerMessage
 
 /**
@@ -110,10 +99,14 @@
 @SerialName("bundle-request")
 public data class BundleRequest(public val version: Long) : PeerMessage
 
-/** The bundle in force on the sender; the receiver verifies its signatures. */
+/**
+ * The bundle in force on the sender; the receiver verifies its signatures.
+ *
+ * @property version version of the [BundleRequest]; the bundle may be a newer one.
+ */
 @Serializable
 @SerialName("bundle-reply")
-public data class BundleReply(public val bundle: SignedBundle) : PeerMessage
+public data class BundleReply(public val version: Long, public val bundle: SignedBundle) : PeerMessage
 
 /** What the receiver of a [RequestStart] is asked to do. */
 @Serializable
--- a/wire/src/test/kotlin/org/anvilshed/wire/peer/PeerMessageTest.kt
+++ b/wire/src/test/kotlin/org/anvilshed/wire/peer/PeerMessageTest.kt
@@ -16,8 +16,11 @@
 import org.anvilshed.core.ZoneName
 import org.anvilshed.core.bundle.ActivationRecord
 import org.anvilshed.core.bundle.BinaryData
+import org.anvilshed.core.bundle.BundleDigest
 import org.anvilshed.core.bundle.SignOff
 import org.anvilshed.core.bundle.SignedBundle
+import org.anvilshed.core.membership.AdvertisedBundle
+import org.anvilshed.core.membership.PeerContact
 import java.nio.ByteBuffer
 import kotlin.random.Random
 import kotlin.time.Instant
@@ -36,12 +39,11 @@
     Heartbeat(
         sequence = 7,
         state = DeclaredState.LEAVING,
-        bundleVersion = 12,
-        bundleDigest = "ab",
+        bundle = AdvertisedBundle(12, BundleDigest("ab")),
         identifierWindow = 4,
         loads = listOf(ServiceLoad(service, 4, 2, 1, 30)),
         targetsLeaving = listOf(TargetName("t-1")),
-        knownPeers = listOf(KnownPeer(vm, zone, region, "http://c", "p", DeclaredState.SERVING, 3, 100)),
+        knownPeers = listOf(PeerContact(VmName("nbo-a-2"), zone, "127.0.0.1:2", region)),
     ),
     HeartbeatAck(7, setOf("seats/zone/nbo-a")),
     BundleRequest(12),
@@ -71,7 +73,10 @@
     val signature = BinaryData(ByteArray(64))
     val activation = ActivationRecord(Instant.fromEpochSeconds(0), emptyList())
     val signOff = SignOff("operator-b", signature, "0123456789abcdef", activation)
-    return BundleReply(SignedBundle(BinaryData(ByteArray(size)), "operator-a", signature, "0123456789abcdef", signOff))
+    return BundleReply(
+        7,
+        SignedBundle(BinaryData(ByteArray(size)), "operator-a", signature, "0123456789abcdef", signOff),
+    )
 }
 
 class PeerMessageTest :
@@ -85,11 +90,11 @@
             val chunk = decodeFrame(encodeFrame(BodyChunk(3, bytes))) as BodyChunk
             chunk.stream shouldBe 3
             chunk.bytes shouldBe bytes
-            (decodeFrame(encodeFrame(BundleReply(9, ByteArray(0)))) as BundleReply).record shouldBe ByteArray(0)
         }
 
-        test("a message larger than a frame is not sent") {
-            shouldThrow<IllegalArgumentException> { encodeFrame(BundleReply(1, ByteArray(MAXIMUM_FRAME_BYTES))) }
+        test("the largest bundle fits a frame, and a larger message is not sent") {
+            decodeFrame(encodeFrame(bundleReply(MAXIMUM_BUNDLE_BYTES))) shouldBe bundleReply(MAXIMUM_BUNDLE_BYTES)
+            shouldThrow<IllegalArgumentException> { encodeFrame(bundleReply(MAXIMUM_FRAME_BYTES)) }
         }
 
         test("a length outside of the limits is a protocol violation, before any memory is reserved") {
