--- a/daemon/src/main/kotlin/org/anvilshed/daemon/http/ServiceRoute.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/http/ServiceRoute.kt
@@ -57,6 +57,7 @@
         val rest = request.uri().removePrefix(SERVICES_PREFIX)
         val service = rest.substringBefore('?').substringBefore('/')
         val path = rest.removePrefix(service)
+        val deadline: String? = request.getHeader("Anvilshed-Deadline-Ms")
         return IncomingRequest(
             service = service,
             kind = request.getHeader("Anvilshed-Kind"),
@@ -64,7 +65,7 @@
             path = if (path.startsWith('/')) path else "/$path",
             headers = endToEndRequestHeaders(request.headers().entries()),
             // A malformed value is passed on as 0, as the owner of an identifier has to decide about it.
-            deadlineMilliseconds = request.getHeader("Anvilshed-Deadline-Ms")?.let { it.toLongOrNull() ?: 0 },
+            deadlineMilliseconds = deadline?.let { it.toLongOrNull() ?: 0 },
             arrivedAt = clock.now(),
             identifier = request.getHeader("Anvilshed-Request-Id"),
             declaredLength = request.getHeader("Content-Length")?.toLongOrNull(),
--- /dev/null
+++ b/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/FakeTarget.kt
@@ -0,0 +1,121 @@
+package org.anvilshed.daemon.testbed
+
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpServer
+import io.vertx.core.http.HttpServerOptions
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.core.json.JsonObject
+import io.vertx.kotlin.coroutines.coAwait
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+
+/**
+ * Target whose answers are chosen by the path of the request:
+ * `/echo` returns the body; `/delay/<ms>` answers after a time; `/large/<bytes>` returns a [pattern]; `/shed` answers
+ * `Not-Run`; `/draining` answers `Not-Run` and `Draining`; `/lose` closes the connection after the request; `/half`
+ * closes it in the middle of a response; `/redirect` redirects to `/echo`; `/hang` never answers.
+ */
+internal class FakeTarget(private val vertx: Vertx, val name: String) {
+    private lateinit var server: HttpServer
+
+    /** Number of arrivals by request identifier, or by path without one. */
+    val arrivals = ConcurrentHashMap<String, Int>()
+
+    /** Number of requests whose connection was closed before their answer. */
+    val cancelled = AtomicInteger()
+
+    /** Requests that are being answered. */
+    val running = AtomicInteger()
+
+    /** Largest number of requests at a time. */
+    val peak = AtomicInteger()
+
+    @Volatile
+    var healthState = "ready"
+
+    /** Whether the next request that is not `/health` is shed. */
+    @Volatile
+    var shedNext = false
+
+    val port: Int get() = server.actualPort()
+
+    suspend fun start(port: Int = 0) {
+        server = vertx.createHttpServer(HttpServerOptions().setTcpNoDelay(true)).requestHandler(::accept)
+            .listen(port, "127.0.0.1").coAwait()
+    }
+
+    suspend fun stop() {
+        server.close().coAwait()
+    }
+
+    private fun accept(request: HttpServerRequest) {
+        if (request.path() == "/health") {
+            val health = JsonObject().put("state", healthState).put("slots", 4).put("in_flight", running.get())
+            request.response().end(health.put("queued", 0).put("age_ms", 0).toBuffer())
+            return
+        }
+        arrivals.merge(request.getHeader("Request-Id") ?: request.path(), 1, Int::plus)
+        peak.accumulateAndGet(running.incrementAndGet(), ::maxOf)
+        var ended = false
+        request.response().endHandler {
+            ended = true
+            running.decrementAndGet()
+        }
+        request.response().closeHandler {
+            if (!ended) {
+                cancelled.incrementAndGet()
+                running.decrementAndGet()
+            }
+        }
+        if (request.path() ==
+            "/half"
+        ) {
+            answer(request, Buffer.buffer())
+        } else {
+            request.body().onSuccess { answer(request, it) }
+        }
+    }
+
+    private fun answer(request: HttpServerRequest, body: Buffer) {
+        val response = request.response().putHeader("Target", name)
+        val path = request.path().orEmpty()
+        val argument = path.substringAfterLast('/')
+        when {
+            shedNext || path == "/shed" || path == "/draining" -> {
+                shedNext = false
+                response.setStatusCode(503).putHeader("Not-Run", "true")
+                if (path == "/draining") response.putHeader("Draining", "true")
+                response.end()
+            }
+
+            path == "/echo" -> response.putHeader(
+                "Correlation",
+                request.getHeader("Correlation") ?: "",
+            ).end(body)
+
+            path.startsWith("/delay/") -> vertx.setTimer(argument.toLong()) {
+                if (!response.closed()) response.end(request.getHeader("Correlation") ?: "")
+            }
+
+            path.startsWith("/large/") -> response.end(Buffer.buffer(pattern(argument.toInt())))
+
+            path == "/lose" -> request.connection().close()
+
+            path == "/half" -> {
+                response.putHeader("Content-Length", "100000").write(Buffer.buffer(ByteArray(1_000)))
+                vertx.setTimer(50) { request.connection().close() }
+            }
+
+            path == "/redirect" -> response.setStatusCode(302).putHeader("Location", "/echo").end()
+
+            path == "/hang" -> Unit
+
+            else -> response.setStatusCode(404).end()
+        }
+    }
+}
+
+/** Returns [size] bytes that are the same in every process. */
+internal fun pattern(size: Int): ByteArray = Random(size).nextBytes(size)
--- /dev/null
+++ b/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/SignedBundles.kt
@@ -0,0 +1,44 @@
+package org.anvilshed.daemon.testbed
+
+import kotlinx.serialization.json.Json
+import org.anvilshed.core.bundle.ActivationRecord
+import org.anvilshed.core.bundle.BinaryData
+import org.anvilshed.core.bundle.SignOff
+import org.anvilshed.core.bundle.SignedBundle
+import org.anvilshed.core.bundle.digest
+import org.anvilshed.core.bundle.generateOperatorKeyPair
+import org.anvilshed.core.bundle.signAsAuthor
+import org.anvilshed.core.bundle.signAsSecondOperator
+import org.anvilshed.wire.platform.CurrentBundle
+import org.anvilshed.wire.platform.bundleKey
+import java.security.KeyPair
+import java.security.SecureRandom
+import java.util.Base64
+import kotlin.time.Clock
+
+/** Two operators who sign whatever a test asks for. */
+internal class SignedBundles {
+    private val author: KeyPair = generateOperatorKeyPair(SecureRandom())
+    private val second: KeyPair = generateOperatorKeyPair(SecureRandom())
+
+    /** Tables `[[operators]]` of the settings. */
+    val operatorSettings: String = listOf("amina" to author, "baraka" to second).joinToString("\n") { (name, key) ->
+        "[[operators]]\nname = \"$name\"\npublic_key = \"${Base64.getEncoder().encodeToString(key.public.encoded)}\"\n"
+    }
+
+    fun sign(document: String): SignedBundle {
+        val bytes = BinaryData(document.toByteArray())
+        val submission = SignedBundle(bytes, "amina", signAsAuthor(bytes, author.private), "submission")
+        val activation = ActivationRecord(Clock.System.now(), emptyList())
+        val signature = signAsSecondOperator(submission, activation, second.private)
+        return submission.copy(signOff = SignOff("baraka", signature, "sign-off", activation))
+    }
+
+    /** Stores [document] as the current bundle of [version]. */
+    fun publish(platform: FakePlatform, version: Long, document: String) {
+        val signed = sign(document)
+        platform.put(bundleKey(version), Json.encodeToString(SignedBundle.serializer(), signed).toByteArray())
+        val current = CurrentBundle(version, signed.bytes.digest())
+        platform.put("bundles/current", Json.encodeToString(CurrentBundle.serializer(), current).toByteArray())
+    }
+}
--- a/wire/src/test/kotlin/org/anvilshed/wire/peer/PeerMessageTest.kt
+++ b/wire/src/test/kotlin/org/anvilshed/wire/peer/PeerMessageTest.kt
@@ -17,6 +17,7 @@
 import org.anvilshed.core.bundle.ActivationRecord
 import org.anvilshed.core.bundle.BinaryData
 import org.anvilshed.core.bundle.BundleDigest
+import org.anvilshed.core.bundle.MAXIMUM_BUNDLE_BYTES
 import org.anvilshed.core.bundle.SignOff
 import org.anvilshed.core.bundle.SignedBundle
 import org.anvilshed.core.membership.AdvertisedBundle
