Measure each slope in a JVM of its own

Cause: heap of earlier rows counted against later ones (850,000 blocks showed 5.9 MB, half of the true value). Ruled out: more collections before the reading (no change).

--- a/benchmark/src/main/kotlin/org/anvilshed/benchmark/micro/LookupTableBenchmark.kt
+++ b/benchmark/src/main/kotlin/org/anvilshed/benchmark/micro/LookupTableBenchmark.kt
@@ -20,15 +20,15 @@
  * @property lookupNanoseconds mean time of a lookup of a random address, one thread.
  * @property changeMicroseconds mean time of a change of one block.
  */
-public data class LookupTableFigures(
-    public val blocks: Int,
-    public val tableBytes: Long,
-    public val lookupNanoseconds: Double,
-    public val changeMicroseconds: Double,
+internal data class LookupTableFigures(
+    val blocks: Int,
+    val tableBytes: Long,
+    val lookupNanoseconds: Double,
+    val changeMicroseconds: Double,
 )
 
 /** Measures a [ClientBlockTable] of [blocks] random IPv4 blocks of 12 to 28 bits for [SITES] sites. */
-public fun measureLookupTable(blocks: Int, seed: Long): LookupTableFigures {
+internal fun measureLookupTable(blocks: Int, seed: Long): LookupTableFigures {
     val random = Random(seed)
     val sites = List(SITES) { RegionName("site-$it") }
     val before = usedHeapAfterCollection()
@@ -70,22 +70,3 @@
     changes.forEach { (block, site) -> table.put(block, site) }
     return (System.nanoTime() - start) / 1e3 / CHANGES
 }
-
-/** Prints the table "Client blocks" of `docs/CAPACITY.md`. */
-public fun printLookupTable() {
-    // The first run loads classes and compiles, which would count as table memory.
-    measureLookupTable(blocks = 50_000, seed = 0)
-    println("blocks      table MB   bytes/block  lookup ns  change us")
-    listOf(106_250, 212_500, 425_000, 850_000, 1_700_000).forEach { blocks ->
-        val figures = measureLookupTable(blocks, seed = 1)
-        println(
-            "%-10d %9.1f %12.1f %10.0f %10.1f".format(
-                figures.blocks,
-                figures.tableBytes / 1e6,
-                figures.tableBytes.toDouble() / figures.blocks,
-                figures.lookupNanoseconds,
-                figures.changeMicroseconds,
-            ),
-        )
-    }
-}
--- a/benchmark/src/main/kotlin/org/anvilshed/benchmark/micro/Measuring.kt
+++ b/benchmark/src/main/kotlin/org/anvilshed/benchmark/micro/Measuring.kt
@@ -6,10 +6,10 @@
 private val threads = ManagementFactory.getThreadMXBean() as ThreadMXBean
 
 /** Mean cost of one operation: time in nanoseconds and allocated bytes, on one thread. */
-public data class OperationCost(public val nanoseconds: Double, public val allocatedBytes: Double)
+internal data class OperationCost(public val nanoseconds: Double, public val allocatedBytes: Double)
 
 /** Runs [operation] [count] times to warm up and [count] times to measure; the index is its argument. */
-public fun costOf(count: Int, operation: (Int) -> Any?): OperationCost {
+internal fun costOf(count: Int, operation: (Int) -> Any?): OperationCost {
     var sink = 0
     repeat(count) { sink = sink xor System.identityHashCode(operation(it)) }
     val allocatedBefore = threads.currentThreadAllocatedBytes
@@ -24,7 +24,7 @@
 }
 
 /** Returns the heap in use after full collections, in bytes. */
-public fun usedHeapAfterCollection(): Long {
+internal fun usedHeapAfterCollection(): Long {
     repeat(3) { System.gc() }
     val runtime = Runtime.getRuntime()
     return runtime.totalMemory() - runtime.freeMemory()
--- a/benchmark/src/main/kotlin/org/anvilshed/benchmark/micro/SlopeBenchmark.kt
+++ b/benchmark/src/main/kotlin/org/anvilshed/benchmark/micro/SlopeBenchmark.kt
@@ -46,117 +46,117 @@
 
 private const val SEATS_PER_MEMBER = 4
 private const val BYTES_PER_ANSWER = 512
+private const val REGIONS = 18
+private const val WARM_UP_SIZE = 1_000
+private const val ZONES = 39
+private const val NANOS_PER_MICRO = 1e3
+private const val BYTES_PER_MEGABYTE = 1e6
+private const val LEDGER_ROUNDS = 500
+private const val VIEW_ROUNDS = 100
+private const val HEARTBEAT_ROUNDS = 20_000
+private const val DECISION_ROUNDS = 1_000_000
+private const val ANSWER_ROUNDS = 100_000
 private val ZONE = ZoneName("zone-0")
 private val SERVICE = ServiceName("booking")
 
 private fun identity(index: Int) = VmIdentity(VmName("vm-$index"), Incarnation(index.toLong()))
 
-/** Prints the cost of the seat ledger of one scope by its number of members. */
-public fun printSeatLedgerSlope() {
-    println("seat ledger: members, JSON bytes, encode+decode us, ideal allocation us")
-    for (members in listOf(2, 20, 60, 174, 378)) {
-        val ledger = ledgerOf(members)
-        val text = Json.encodeToString(SeatLedger.serializer(), ledger)
-        val codec = costOf(200) {
-            val encoded = Json.encodeToString(SeatLedger.serializer(), ledger)
-            Json.decodeFromString(SeatLedger.serializer(), encoded)
-        }
-        val all = SeatSet.of(ledger.seats, (0 until ledger.seats).toList())
-        val ideal = costOf(500) { idealAllocation(SeatScope.OfZone(ZONE), ledger.members, all) }
-        println("%8d %10d %12.0f %12.0f".format(members, text.length, codec.nanoseconds / 1e3, ideal.nanoseconds / 1e3))
+/** Cost of the seat ledger of one scope by its number of members. */
+private fun seatLedgerRow(members: Int): List<Double> {
+    val ledger = ledgerOf(members)
+    val text = Json.encodeToString(SeatLedger.serializer(), ledger)
+    val codec = costOf(LEDGER_ROUNDS) {
+        Json.decodeFromString(SeatLedger.serializer(), Json.encodeToString(SeatLedger.serializer(), ledger))
     }
+    val all = SeatSet.of(ledger.seats, (0 until ledger.seats).toList())
+    val ideal = costOf(LEDGER_ROUNDS) { idealAllocation(SeatScope.OfZone(ZONE), ledger.members, all) }
+    return listOf(text.length.toDouble(), codec.nanoseconds / NANOS_PER_MICRO, ideal.nanoseconds / NANOS_PER_MICRO)
 }
 
 private fun ledgerOf(members: Int): SeatLedger {
-    val list =
-        List(members) { SeatMember(identity(it), ZONE, "10.0.0.$it:7000", renewal = 1_000, writeId = it.toLong()) }
+    val list = List(members) {
+        SeatMember(identity(it), ZONE, "10.0.0.$it:7000", renewal = 1_000, writeId = it.toLong())
+    }
     val seats = members * SEATS_PER_MEMBER
     return SeatLedger(seats, list, encodeOwners(List(seats) { list[it / SEATS_PER_MEMBER].identity }))
 }
 
-/** Prints the cost of membership by the number of known VMs, and of one heartbeat. */
-public fun printMembershipSlope() {
-    println("membership: VMs known, heap bytes per VM, neighbor selection us, snapshot us")
-    for (vms in listOf(7, 425, 1_700, 6_800)) {
-        val before = usedHeapAfterCollection()
-        val view = PeerView(identity(vms))
-        repeat(vms) { index ->
-            val contact = PeerContact(VmName("vm-$index"), ZoneName("zone-${index % 39}"), "10.0.${index / 250}.1:7000")
-            view.heard(contact, Incarnation(index.toLong()), isLeaving = false, MonotonicTime(0))
-        }
-        val bytes = usedHeapAfterCollection() - before
-        val self = PeerContact(VmName("self"), ZoneName("zone-1"), "10.9.9.9:7000")
-        val contacts = view.contacts()
-        val choice = costOf(50) { selectNeighbors(self, contacts, view.neighborCandidates(MonotonicTime(it.toLong()))) }
-        val snapshot = costOf(50) { view.peers(MonotonicTime(it.toLong())) }
-        val columns = listOf(bytes.toDouble() / vms, choice.nanoseconds / 1e3, snapshot.nanoseconds / 1e3)
-        println("%8d %10.0f %12.0f %12.0f".format(vms, columns[0], columns[1], columns[2]))
+/** Cost of the view of all peers by the number of known VMs. */
+private fun membershipRow(vms: Int): List<Double> {
+    val before = usedHeapAfterCollection()
+    val view = PeerView(identity(vms))
+    repeat(vms) { index ->
+        val contact = PeerContact(VmName("vm-$index"), ZoneName("zone-${index % ZONES}"), "10.0.${index / 250}.1:7000")
+        view.heard(contact, Incarnation(index.toLong()), isLeaving = false, MonotonicTime(0))
     }
-}
-
-/** Prints size and cost of heartbeats by the number of services reported. */
-public fun printHeartbeatSlope() {
-    println("heartbeat: services, known peers told, bytes, encode+decode us")
-    for ((services, peers) in listOf(3 to 0, 3 to 6, 3 to 16, 10 to 6, 30 to 6)) {
-        val heartbeat = heartbeatOf(services, peers)
-        val cost = costOf(5_000) { decodeFrame(encodeFrame(heartbeat)) }
-        println("%8d %8d %8d %10.1f".format(services, peers, encodeFrame(heartbeat).size, cost.nanoseconds / 1e3))
+    val bytes = usedHeapAfterCollection() - before
+    val self = PeerContact(VmName("self"), ZoneName("zone-1"), "10.9.9.9:7000")
+    val contacts = view.contacts()
+    val choice = costOf(VIEW_ROUNDS) {
+        selectNeighbors(self, contacts, view.neighborCandidates(MonotonicTime(it.toLong())))
     }
+    val snapshot = costOf(VIEW_ROUNDS) { view.peers(MonotonicTime(it.toLong())) }
+    return listOf(
+        bytes.toDouble() / vms,
+        choice.nanoseconds / NANOS_PER_MICRO,
+        snapshot.nanoseconds / NANOS_PER_MICRO,
+    )
 }
 
-private fun heartbeatOf(services: Int, peers: Int) = Heartbeat(
-    sequence = 123_456,
-    state = DeclaredState.SERVING,
-    bundle = AdvertisedBundle(123, BundleDigest("0".repeat(64))),
-    identifierWindow = 42,
-    loads = List(services) { ServiceLoad(ServiceName("service-$it"), 8, 4, 0, 3) },
-    targetsLeaving = emptyList(),
-    knownPeers = List(peers) { PeerContact(VmName("vm-$it"), ZONE, "10.0.0.$it:7000", RegionName("region-0")) },
-)
+/** Size and cost of a heartbeat of three services by the number of peers that it tells. */
+private fun heartbeatRow(peers: Int): List<Double> {
+    val heartbeat = Heartbeat(
+        sequence = 123_456,
+        state = DeclaredState.SERVING,
+        bundle = AdvertisedBundle(123, BundleDigest("0".repeat(64))),
+        identifierWindow = 42,
+        loads = List(3) { ServiceLoad(ServiceName("service-$it"), 8, 4, 0, 3) },
+        targetsLeaving = emptyList(),
+        knownPeers = List(peers) { PeerContact(VmName("vm-$it"), ZONE, "10.0.0.$it:7000", RegionName("region-0")) },
+    )
+    val cost = costOf(HEARTBEAT_ROUNDS) { decodeFrame(encodeFrame(heartbeat)) }
+    return listOf(encodeFrame(heartbeat).size.toDouble(), cost.nanoseconds / NANOS_PER_MICRO)
+}
 
-/** Prints the cost of a routing decision by the number of sites, each with one peer. */
-public fun printRoutingSlope() {
-    println("routing: sites, ns per decision, bytes allocated per decision")
-    for (sites in listOf(45, 180, 720)) {
-        val registry = PeerRegistry()
-        val places = List(sites) { PeerPlace(identity(it), ZoneName("zone-$it"), RegionName("region-$it")) }
-        registry.applyPeers(places, listOf(SERVICE))
-        val routes = registry.routesFor(SERVICE)
-        routes.forEach { it.recordReport(freeSlots = Int.MAX_VALUE / 2, MonotonicTime(0)) }
-        val plan = buildRegionPlan(
-            SERVICE,
-            ZoneName("own"),
-            RegionName("own"),
-            listOf(ZoneName("own")),
-            places.map { it.region },
-            moves = emptyList(),
-            TargetTable.EMPTY,
-            routes,
-        )
-        val chooser = RouteChooser(RouteLimits(LocalLimit { null }, MoveLimit { _, _ -> null }))
-        val random = Random(1)
-        val wallNow = Clock.System.now()
-        val cost = costOf(500_000) { chooser.route(plan, RouteRequest(MonotonicTime(it.toLong()), wallNow, random)) }
-        println("%8d %10.0f %10.0f".format(sites, cost.nanoseconds, cost.allocatedBytes))
+/** Cost of a routing decision by the number of sites, each with one peer. */
+private fun routingRow(sites: Int): List<Double> {
+    val registry = PeerRegistry()
+    val places = List(sites) { PeerPlace(identity(it), ZoneName("zone-$it"), RegionName("region-$it")) }
+    registry.applyPeers(places, listOf(SERVICE))
+    val routes = registry.routesFor(SERVICE)
+    routes.forEach { it.recordReport(freeSlots = Int.MAX_VALUE / 2, MonotonicTime(0)) }
+    val plan = buildRegionPlan(
+        SERVICE,
+        ZoneName("own"),
+        RegionName("own"),
+        listOf(ZoneName("own")),
+        places.map { it.region },
+        moves = emptyList(),
+        TargetTable.EMPTY,
+        routes,
+    )
+    val chooser = RouteChooser(RouteLimits(LocalLimit { null }, MoveLimit { _, _ -> null }))
+    val random = Random(1)
+    val wallNow = Clock.System.now()
+    val cost = costOf(DECISION_ROUNDS) {
+        chooser.route(plan, RouteRequest(MonotonicTime(it.toLong()), wallNow, random))
     }
+    return listOf(cost.nanoseconds, cost.allocatedBytes)
 }
 
-/** Prints the cost of the records of non-idempotent requests by their number. */
-public fun printRecordsSlope() {
-    println("execution records ($BYTES_PER_ANSWER byte answers): records, heap bytes per record, us per request")
-    for (count in listOf(5_000, 10_000, 20_000, 50_000)) {
-        val windows = IdentifierWindows(MonotonicTime(0))
-        val before = usedHeapAfterCollection()
-        val records = ExecutionRecords(identity(1), windows, ExecutionLimits())
-        val start = System.nanoTime()
-        repeat(count) { run(records, it) }
-        val elapsed = System.nanoTime() - start
-        val bytes = usedHeapAfterCollection() - before
-        println("%8d %10.0f %10.2f".format(records.recordCount, bytes.toDouble() / count, elapsed / 1e3 / count))
-    }
+/** Cost of the records of non-idempotent requests with answers of [BYTES_PER_ANSWER] bytes by their number. */
+private fun recordsRow(count: Int): List<Double> {
+    val before = usedHeapAfterCollection()
+    val records = ExecutionRecords(identity(1), IdentifierWindows(MonotonicTime(0)), ExecutionLimits())
+    val start = System.nanoTime()
+    repeat(count) { runRequest(records, it) }
+    val elapsed = System.nanoTime() - start
+    val bytes = usedHeapAfterCollection() - before
+    check(records.recordCount == count) { "${records.recordCount} records instead of $count" }
+    return listOf(bytes.toDouble() / count, elapsed / NANOS_PER_MICRO / count)
 }
 
-private fun run(records: ExecutionRecords, index: Int) {
+private fun runRequest(records: ExecutionRecords, index: Int) {
     val now = MonotonicTime(index.toLong())
     val identifier = RequestIdentifier(records.owner, window = 0, nonce = "nonce-%08d".format(index))
     val admitted = records.admit(identifier) { now }
@@ -165,29 +165,53 @@
     admitted.execution.complete(RecordedAnswer(200, emptyList(), ByteArray(BYTES_PER_ANSWER), target = null))
 }
 
-/** Prints the cost of a lookup answer by the number of entry VMs it chooses from. */
-public fun printEntrySlope() {
-    println("lookup answer: candidates, ns per answer, bytes allocated")
-    for (size in listOf(7, 39, 156, 312)) {
-        val directory = EntryDirectory(
-            List(size) {
-                val region = RegionName("region-${it % 18}")
-                EntryCandidate(identity(it), ZoneName("zone-${it % 39}"), region, "http://10.0.0.$it:80", 1, 1.0)
-            },
-        )
-        val region = RegionName("region-3")
-        val cost = costOf(50_000) { directory.select(it.toLong(), region, zone = null, count = 3) }
-        println("%8d %10.0f %10.0f".format(size, cost.nanoseconds, cost.allocatedBytes))
-    }
+/** Cost of a lookup answer by the number of entry VMs it chooses from, in 18 regions. */
+private fun entryRow(size: Int): List<Double> {
+    val directory = EntryDirectory(
+        List(size) {
+            val region = RegionName("region-${it % REGIONS}")
+            EntryCandidate(identity(it), ZoneName("zone-${it % ZONES}"), region, "http://10.0.0.$it:80", 1, 1.0)
+        },
+    )
+    val region = RegionName("region-3")
+    val cost = costOf(ANSWER_ROUNDS) { directory.select(it.toLong(), region, zone = null, count = 3) }
+    return listOf(cost.nanoseconds, cost.allocatedBytes)
+}
+
+private fun clientBlocksRow(blocks: Int): List<Double> {
+    val figures = measureLookupTable(blocks, seed = 1)
+    return listOf(
+        figures.tableBytes.toDouble() / blocks,
+        figures.tableBytes / BYTES_PER_MEGABYTE,
+        figures.lookupNanoseconds,
+        figures.changeMicroseconds,
+    )
 }
 
-/** Prints all tables of slopes of `docs/CAPACITY.md`. */
-public fun main() {
-    printLookupTable()
-    printEntrySlope()
-    printRoutingSlope()
-    printRecordsSlope()
-    printSeatLedgerSlope()
-    printMembershipSlope()
-    printHeartbeatSlope()
+private class SlopeTable(val columns: List<String>, val row: (Int) -> List<Double>)
+
+private val tables = mapOf(
+    "client-blocks" to
+        SlopeTable(listOf("blocks", "bytes/block", "MB", "lookup ns", "change us"), ::clientBlocksRow),
+    "lookup-answers" to SlopeTable(listOf("candidates", "ns", "bytes allocated"), ::entryRow),
+    "routing" to SlopeTable(listOf("sites", "ns", "bytes allocated"), ::routingRow),
+    "records" to SlopeTable(listOf("records", "heap bytes each", "us each"), ::recordsRow),
+    "seat-ledger" to SlopeTable(listOf("members", "JSON bytes", "codec us", "allocation us"), ::seatLedgerRow),
+    "membership" to SlopeTable(listOf("VMs", "heap bytes each", "neighbors us", "snapshot us"), ::membershipRow),
+    "heartbeat" to SlopeTable(listOf("peers told", "bytes", "codec us"), ::heartbeatRow),
+)
+
+/**
+ * Prints one row of a table of slopes of `docs/CAPACITY.md`. The arguments are the name of the table and the size; each
+ * row is measured in a JVM of its own, since objects of an earlier row would count as heap in use.
+ */
+public fun main(arguments: Array<String>) {
+    val table = arguments.getOrNull(0)?.let(tables::get)
+    val size = arguments.getOrNull(1)?.toIntOrNull()
+    require(table != null && size != null) { "usage: TABLE SIZE, where TABLE is one of ${tables.keys}" }
+    // Classes loaded and released during the first run would count as heap of the table.
+    table.row(minOf(size, WARM_UP_SIZE))
+    val row = table.row(size)
+    val cells = table.columns.drop(1).zip(row) { column, value -> "%s %.1f".format(column, value) }
+    println("${arguments[0]}: ${table.columns.first()} $size, " + cells.joinToString(", "))
 }
