Index the chunks of the client block table by the first 16 bits

Cause: the search over 6,600 chunk keys misses the cache at 1.7 million blocks. Change: an array of 65,537 chunk numbers narrows the search.

--- a/core/src/main/kotlin/org/anvilshed/core/lookup/PrefixTable.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/lookup/PrefixTable.kt
@@ -11,15 +11,35 @@
  */
 internal class PrefixTable(entries: List<PrefixEntry>) {
     private class Directory(val firstKeys: LongArray, val chunks: AtomicReferenceArray<PrefixChunk>) {
+        /** For each value of the first 16 bits the last chunk that begins at or before its first key. */
+        private val starts = startsOf(firstKeys)
+
         fun indexFor(key: Long): Int {
-            var low = 1
-            var high = firstKeys.size - 1
+            val slot = (key ushr SLOT_SHIFT).toInt()
+            var low = starts[slot] + 1
+            var high = starts[slot + 1]
             while (low <= high) {
                 val middle = (low + high) ushr 1
                 if (java.lang.Long.compareUnsigned(firstKeys[middle], key) <= 0) low = middle + 1 else high = middle - 1
             }
             return high
         }
+
+        private fun startsOf(firstKeys: LongArray): IntArray {
+            val result = IntArray(SLOTS + 1)
+            var chunk = 0
+            for (slot in 0 until SLOTS) {
+                val key = slot.toLong() shl SLOT_SHIFT
+                while (chunk + 1 < firstKeys.size &&
+                    java.lang.Long.compareUnsigned(firstKeys[chunk + 1], key) <= 0
+                ) {
+                    chunk++
+                }
+                result[slot] = chunk
+            }
+            result[SLOTS] = firstKeys.size - 1
+            return result
+        }
     }
 
     private val changes = Any()
@@ -121,6 +141,8 @@
         /** A change copies at most this many prefixes; larger chunks save little memory and make changes slower. */
         const val MAXIMUM_CHUNK_SIZE: Int = 512
 
+        private const val SLOT_SHIFT = 48
+        private const val SLOTS = 1 shl 16
         private const val INITIAL_CHUNK_SIZE = MAXIMUM_CHUNK_SIZE / 2
 
         private fun buildDirectory(sorted: List<PrefixEntry>): Directory {
