--- a/core/src/main/kotlin/org/anvilshed/core/routing/PeerRoute.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/routing/PeerRoute.kt
@@ -26,6 +26,9 @@
     @Volatile
     private var load: ReportedLoad? = null
 
+    @Volatile
+    internal var position: CandidatePosition? = null
+
     /** Whether the peer is alive, connected and not leaving; only then it is chosen. */
     @Volatile
     public var isUsable: Boolean = true
@@ -38,6 +41,7 @@
     public fun recordReport(freeSlots: Int, measuredAt: MonotonicTime) {
         load = ReportedLoad(limit = freeSlots, load = 0, measuredAt)
         counts.updateAndGet { it and RUNNING_MASK }
+        if (freeSlots > 0) position?.add()
     }
 
     /** Records that the peer refused a request for want of a slot: it counts as full until its next report. */
@@ -60,11 +64,13 @@
     public fun end() {
         val before = counts.getAndDecrement()
         check(before and RUNNING_MASK > 0) { "a request to $vm ended that had not begun" }
+        position?.add()
     }
 
     /** Undoes a [tryBegin] for which nothing was sent. */
     internal fun undoBegin() {
         counts.updateAndGet { if (it >= ONE_SENT) it - ONE_SENT - 1 else it - 1 }
+        position?.add()
     }
 
     private fun assumedFree(present: Long, now: MonotonicTime): Int {
--- a/core/src/main/kotlin/org/anvilshed/core/routing/RouteChooser.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/routing/RouteChooser.kt
@@ -5,7 +5,8 @@
 /**
  * Decides where a request goes. Thread-safe; takes what it chooses: a slot, a peer's place, a move.
  *
- * The time and the allocation of one decision do not grow with the number of sites, unless most of them are full.
+ * A decision allocates the same for any number of sites. Its time hardly grows with them: full ones are skipped 64 at a
+ * time, see [CandidateSet].
  */
 public class RouteChooser(private val limits: RouteLimits) {
     private val targetChooser = TargetChooser(limits.local)
--- a/core/src/main/kotlin/org/anvilshed/core/routing/TargetChooser.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/routing/TargetChooser.kt
@@ -18,16 +18,24 @@
         if (take(better, request)) return better
         val other = if (better === first) second else first
         if (other !== better && mayGoOn(request) && take(other, request)) return other
-        return scan(targets, request)
+        group.candidates.refresh(request.now)
+        val start = request.random.nextInt(targets.size)
+        return scan(group, start, targets.size, request) ?: scan(group, 0, start, request)
     }
 
-    private fun scan(targets: Array<TargetState>, request: RouteRequest): TargetState? {
-        val start = request.random.nextInt(targets.size)
-        for (step in targets.indices) {
-            if (!mayGoOn(request)) return null
-            val index = start + step
-            val target = targets[if (index < targets.size) index else index - targets.size]
-            if (take(target, request)) return target
+    private fun scan(group: TargetGroup, from: Int, to: Int, request: RouteRequest): TargetState? {
+        var index = group.candidates.nextFrom(from)
+        while (index in 0 until to && mayGoOn(request)) {
+            val target = group.targets[index]
+            // Removed before the look, so that a slot that is freed during it is not lost.
+            group.candidates.remove(index)
+            if (take(target, request)) {
+                group.candidates.add(index)
+                return target
+            }
+            // The avoided target has room for other requests; other reasons than a slot concern all targets.
+            if (target === request.avoidTarget || !mayGoOn(request)) group.candidates.add(index)
+            index = group.candidates.nextFrom(index + 1)
         }
         return null
     }
@@ -41,7 +49,7 @@
         if (target === request.avoidTarget || !target.isAvailable(request.now, request.wallNow)) return false
         if (!target.tryBegin(request.now)) return false
         val refusal = limit.acquire(target) ?: return true
-        target.end()
+        target.undoBegin()
         request.localRefusal = refusal
         return false
     }
--- a/core/src/main/kotlin/org/anvilshed/core/routing/TargetGroup.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/routing/TargetGroup.kt
@@ -11,6 +11,12 @@
     public val region: RegionName,
     internal val targets: Array<TargetState>,
 ) {
+    internal val candidates = CandidateSet(targets.size)
+
+    init {
+        targets.forEachIndexed { index, target -> target.position = CandidatePosition(candidates, index) }
+    }
+
     /** Number of targets. */
     public val size: Int
         get() = targets.size
--- a/core/src/main/kotlin/org/anvilshed/core/routing/TargetState.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/routing/TargetState.kt
@@ -56,6 +56,9 @@
     @Volatile
     private var failedAt = createdAt.nanoseconds
 
+    @Volatile
+    internal var position: CandidatePosition? = null
+
     /** Exponentially weighted latency of successful requests in nanoseconds; 0 before the first one. */
     @Volatile
     public var latencyNanoseconds: Double = 0.0
@@ -83,8 +86,11 @@
         get() = leaving.get() and (LeavingSource.HEALTH.bit or LeavingSource.ANSWER.bit) != 0
 
     /** Returns whether the target must not receive new requests; a wall clock that steps back revokes nothing. */
-    public fun isLeaving(wallNow: Instant): Boolean =
-        leaving.get() != 0 || plannedLeave?.let { it.hasCome || it.check(wallNow) } == true
+    public fun isLeaving(wallNow: Instant): Boolean {
+        // Checked first: the planned time has to be remembered even while another source marks the target.
+        val planned = plannedLeave?.let { it.hasCome || it.check(wallNow) } == true
+        return planned || leaving.get() != 0
+    }
 
     /** Last check immediately before a dispatch: returns why the target must not receive the request, or `null`. */
     public fun denyDispatch(wallNow: Instant): RefusalReason? =
@@ -184,8 +190,17 @@
         }
     }
 
-    /** Records that a request no longer occupies a slot of the target; call it once per [RouteDecision.LocalTarget]. */
+    /**
+     * Records that a request no longer occupies a slot of the target; call it once per [RouteDecision.LocalTarget],
+     * after the slot was released and before the queue is polled.
+     */
     public fun end() {
+        undoBegin()
+        position?.add()
+    }
+
+    /** Undoes a [tryBegin] for which nothing was sent; no room appears by it. */
+    internal fun undoBegin() {
         check(running.decrementAndGet() >= 0) { "a request to $name ended that had not begun" }
     }
 
--- a/core/src/test/kotlin/org/anvilshed/core/fuzz/SequenceFuzz.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/fuzz/SequenceFuzz.kt
@@ -8,7 +8,7 @@
 /**
  * Runs [check] on generated command sequences and, on a failure, reports the seed and a shortened sequence.
  *
- * `-Danvilshed.fuzz.sequences` and `-Danvilshed.fuzz.seed` change the number of sequences and the seed of the first one.
+ * `-Danvilshed.fuzz.sequences` and `-Danvilshed.fuzz.seed` set the number of sequences and the seed of the first one.
  * Commands have to be meaningful in any order and after any of them has been left out.
  */
 fun <C> fuzz(name: String, generate: (Random) -> List<C>, check: (List<C>) -> Unit) {
