--- a/wire/src/main/kotlin/org/anvilshed/wire/platform/CurrentBundlePointer.kt
+++ b/wire/src/main/kotlin/org/anvilshed/wire/platform/CurrentBundlePointer.kt
@@ -1,5 +1,6 @@
 package org.anvilshed.wire.platform
 
+import org.anvilshed.core.bundle.Bundle
 import org.anvilshed.core.bundle.BundleParseResult
 import org.anvilshed.core.bundle.BundleVerifier
 import org.anvilshed.core.bundle.SignedBundle
@@ -12,6 +13,9 @@
 
 /** Reads and raises `bundles/current`. */
 internal class CurrentBundlePointer(private val store: BundleStore, private val verifier: BundleVerifier) {
+    /** A procedure reads the pointer several times; an unchanged bundle is verified once. */
+    private var lastRead: Pair<SignedBundle, CurrentState>? = null
+
     /** Reads the pointer and the bundle that it names. */
     suspend fun read(): PlatformResult<CurrentState> {
         val pointer = when (val result = store.readCurrent()) {
@@ -102,13 +106,23 @@
 
     private fun stateOf(pointer: Versioned<CurrentBundle>, record: SignedBundle?): CurrentState {
         val named = record?.takeIf { it.bytes.digest() == pointer.value.digest }
+        lastRead?.let { (read, state) ->
+            if (read == named && state.objectVersion == pointer.objectVersion) return state
+        }
         val verified = named?.let { verifier.verify(it) as? VerificationResult.Verified }?.bundle
-        val parsed = named?.let { parseBundle(it.bytes.toByteArray().decodeToString()) as? BundleParseResult.Valid }
-        return CurrentState(
+        val state = CurrentState(
             objectVersion = pointer.objectVersion,
             version = pointer.value.version,
             verified = verified?.takeIf { it.version == pointer.value.version },
-            revokedKeys = parsed?.bundle?.revokedKeys.orEmpty(),
+            revokedKeys = named?.let { revokedKeysOf(it, verified?.bundle) }.orEmpty(),
         )
+        if (named != null) lastRead = named to state
+        return state
+    }
+
+    private fun revokedKeysOf(record: SignedBundle, verified: Bundle?): Set<String> {
+        if (verified != null) return verified.revokedKeys
+        val parsed = parseBundle(record.bytes.toByteArray().decodeToString())
+        return (parsed as? BundleParseResult.Valid)?.bundle?.revokedKeys.orEmpty()
     }
 }
--- a/wire/src/main/kotlin/org/anvilshed/wire/platform/SignOffProcedure.kt
+++ b/wire/src/main/kotlin/org/anvilshed/wire/platform/SignOffProcedure.kt
@@ -125,20 +125,22 @@
     }
 
     private suspend fun completed(version: Long, record: SignedBundle, ownSignOffId: String): SignOffResult {
+        val signOff = checkNotNull(record.signOff) { "only signed-off records are completed" }
+        val isOwn = signOff.signOffId == ownSignOffId
         val raised = when (val result = pointer.raise(version, record)) {
             is RaiseResult.Done -> result.currentVersion
 
-            is RaiseResult.Refused -> return result.failure
+            is RaiseResult.Refused ->
+                return if (isOwn) SignOffResult.Refused(version, result.failure.message) else result.failure
 
             is RaiseResult.Failed -> return ProcedureFailure.Uncertain(
                 "version $version is signed off, but bundles/current may not name it yet: ${result.message}; " +
                     "the next anvilctl bundle command that reaches the platform repairs it",
             )
         }
-        val signOff = checkNotNull(record.signOff) { "only signed-off records are completed" }
         val digest = record.bytes.digest()
         return when {
-            signOff.signOffId != ownSignOffId -> SignOffResult.AlreadySignedOff(version, digest, signOff.operator)
+            !isOwn -> SignOffResult.AlreadySignedOff(version, digest, signOff.operator)
             raised > version -> SignOffResult.Superseded(version, raised)
             else -> SignOffResult.SignedOff(version, digest)
         }
--- a/wire/src/main/kotlin/org/anvilshed/wire/platform/SignOffResult.kt
+++ b/wire/src/main/kotlin/org/anvilshed/wire/platform/SignOffResult.kt
@@ -16,4 +16,10 @@
 
     /** The bundle is signed off, but a higher [currentVersion] overtook it, so that it will not come into force. */
     public data class Superseded(public val version: Long, public val currentVersion: Long) : SignOffResult
+
+    /**
+     * The bundle is signed off, but it may not follow the current one, which changed meanwhile, so that it will not
+     * come into force. Submit it once more under a new version.
+     */
+    public data class Refused(public val version: Long, public val message: String) : SignOffResult
 }
