--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/anvilshed/standins/LocalDeployment.kt
@@ -0,0 +1,271 @@
+package org.anvilshed.standins
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.int
+import kotlinx.serialization.json.jsonPrimitive
+import java.io.IOException
+import java.nio.file.Path
+import java.util.concurrent.ExecutionException
+import kotlin.io.path.createDirectories
+import kotlin.io.path.readText
+import kotlin.io.path.writeText
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+private val START_LIMIT = 60.seconds
+private val STOP_LIMIT = 150.seconds
+private val OPERATOR_LIMIT = 60.seconds
+
+/**
+ * Whether peers reach each other through the network relay, and with which delays.
+ *
+ * @property relayed whether the settings name the relay's addresses for peers.
+ * @property delayed whether the relay delays by the sample's round trips.
+ */
+public data class LocalOptions(public val relayed: Boolean = true, public val delayed: Boolean = false)
+
+/**
+ * A sample deployment on this machine's loopback addresses: platform, targets, relay and seven daemons, each a process
+ * started here. [close] ends those that still run. Files and logs are kept in [folder].
+ */
+public class LocalDeployment(
+    public val sample: SampleDeployment,
+    private val programs: Programs,
+    public val folder: Path,
+    private val options: LocalOptions = LocalOptions(),
+) : AutoCloseable {
+    private val ports = PortReservation()
+    private val children = ArrayList<ChildProcess>()
+    private val operators = listOf(OperatorKeys("amina"), OperatorKeys("wanjiru"))
+    private val shutdownHook = Thread { children.forEach { it.kill() } }
+    private val running = HashMap<String, ChildProcess>()
+    private lateinit var platformUrl: String
+    private lateinit var targetAddresses: Map<String, String>
+
+    /** Addresses of the entry VMs by name. */
+    public val addresses: Map<String, VmAddresses> = sample.vms.associate {
+        it.name to VmAddresses(ports.reserve(), ports.reserve(), ports.reserve())
+    }
+
+    /** Control port of the platform stand-in and its object API. */
+    public lateinit var platform: HttpCalls
+        private set
+
+    /** Control port of the target stand-ins. */
+    public lateinit var targets: HttpCalls
+        private set
+
+    /** Control port of the network relay. */
+    public lateinit var relay: HttpCalls
+        private set
+
+    /** Running daemons by VM name. */
+    public val daemons: Map<String, ChildProcess> get() = running
+
+    /** URL of the platform stand-in. */
+    public val platformAddress: String get() = platformUrl
+
+    /** Addresses of the targets by name. */
+    public val targetAddress: Map<String, String> get() = targetAddresses
+
+    /** Starts everything and waits until each daemon answers; no bundle is in force yet. */
+    public fun start() {
+        Runtime.getRuntime().addShutdownHook(shutdownHook)
+        folder.createDirectories()
+        val relayAddresses = startStandIns()
+        writeSettings(relayAddresses)
+        ports.release()
+        sample.vms.forEach { startDaemon(it.name) }
+        sample.vms.forEach { awaitAlive(it.name) }
+    }
+
+    /** Starts the daemon of [vm] with the settings of [start], also after an earlier process of it ended. */
+    public fun startDaemon(vm: String): ChildProcess {
+        val arguments = listOf("run", folder.resolve("$vm.toml").toString())
+        return launch(vm, programs.daemon + arguments).also { running[vm] = it }
+    }
+
+    /** Waits until the daemon of [vm] answers on its operations port. */
+    public fun awaitAlive(vm: String) {
+        val child = running.getValue(vm)
+        waitUntil("$vm answers /live", START_LIMIT) {
+            check(child.isAlive) { "$vm ended at its start:\n${child.log.readText()}" }
+            statusCode(operations(vm), "/live") == 200
+        }
+    }
+
+    /** Calls to the callers' port of [vm]. */
+    public fun callers(vm: String): HttpCalls = HttpCalls("http://${addresses.getValue(vm).callers}")
+
+    /** Calls to the operations port of [vm]. */
+    public fun operations(vm: String): HttpCalls = HttpCalls("http://${addresses.getValue(vm).operations}")
+
+    /** Returns a generated bundle that names this deployment's targets. */
+    public fun bundleText(change: (SampleBundleOptions) -> SampleBundleOptions = { it }): String =
+        sample.bundleText(change(SampleBundleOptions(targetAddresses)))
+
+    /** Submits [text] as bundle [version] by the first operator; returns the exit code of `anvilctl`. */
+    public fun submit(version: Long, text: String): Int {
+        val file = folder.resolve("bundle-$version.toml")
+        file.writeText(text)
+        return operate("submit-$version", operators[0], "bundle", "submit", file.toString())
+    }
+
+    /** Signs off bundle [version] by the second operator; returns the exit code of `anvilctl`. */
+    public fun signOff(version: Long): Int =
+        operate("sign-off-$version", operators[1], "bundle", "sign-off", version.toString())
+
+    /** Submits and signs off a bundle and waits until it is in force on all running daemons. */
+    public fun publish(version: Long, text: String) {
+        check(submit(version, text) == 0) { "submission failed:\n${log("submit-$version")}" }
+        check(signOff(version) == 0) { "sign-off failed:\n${log("sign-off-$version")}" }
+        running.filterValues { it.isAlive }.keys.forEach { awaitBundle(it, version) }
+    }
+
+    /** Waits until bundle [version] is in force on [vm]. */
+    public fun awaitBundle(vm: String, version: Long, limit: Duration = START_LIMIT): Unit =
+        waitUntil("bundle $version in force on $vm", limit) { bundleVersion(vm) == version }
+
+    /** Returns the version of the bundle in force on [vm], or `null` if there is none or no answer. */
+    public fun bundleVersion(vm: String): Long? =
+        status(vm)?.get("bundle_version")?.jsonPrimitive?.content?.toLongOrNull()
+
+    /** Returns the status of [vm] as it reports it, or `null` without an answer. */
+    public fun status(vm: String): JsonObject? = answerOrNull {
+        Json.decodeFromString<JsonObject>(operations(vm).call("GET", "/v1/status").body())
+    }
+
+    /** Returns the counters of all targets by name. */
+    public fun targetCounters(): Map<String, TargetCounters> =
+        Json.decodeFromString<List<TargetCounters>>(targets.call("GET", "/control").body()).associateBy { it.name }
+
+    /** Returns the number of executions by `Request-Id`. */
+    public fun executions(): Map<String, Int> =
+        Json.decodeFromString<JsonObject>(targets.call("GET", "/executions").body()).mapValues {
+            it.value.jsonPrimitive.int
+        }
+
+    /** Cuts the zone of [zone] off from the platform and from all other zones, or heals it. */
+    public fun cutZone(zone: String, cut: Boolean) {
+        val inside = sample.vms.filter { it.zone == zone }
+        val links = inside.flatMap { vm ->
+            (sample.vms - inside.toSet()).flatMap { listOf(linkName(vm, it), linkName(it, vm)) }
+        }
+        val names = links.joinToString { "\"$it\"" }
+        relay.call("POST", "/control", """{"links":[$names],"cut":$cut}""")
+        platform.call("POST", "/control", """{"cut_prefixes":[${if (cut) "\"$zone-\"" else ""}]}""")
+    }
+
+    /** Sends SIGTERM to all daemons and returns the exit codes by VM name; `null` for one that did not end. */
+    public fun stopDaemons(limit: Duration = STOP_LIMIT): Map<String, Int?> {
+        val stopping = running.filterValues { it.isAlive }
+        stopping.values.forEach { it.terminate() }
+        return stopping.mapValues { it.value.awaitExit(limit) }
+    }
+
+    /** Returns the output so far of the process [name]. */
+    public fun log(name: String): String = folder.resolve("$name.log").readText()
+
+    override fun close() {
+        children.forEach { it.kill() }
+        ports.release()
+        runCatching { Runtime.getRuntime().removeShutdownHook(shutdownHook) }
+    }
+
+    private fun startStandIns(): Map<String, String> {
+        val specs = sample.targets.map { TargetSpec(it.name, ports.host, slots = it.slots) }
+        val links = if (options.relayed) {
+            pairs().map { (from, to) ->
+                RelayLink(linkName(from, to), ports.reserve(), addresses.getValue(to.name).peers)
+            }
+        } else {
+            emptyList()
+        }
+        val platformChild = launchStandIn("platform")
+        val targetsChild = launchStandIn("targets", file("targets.json", Json.encodeToString(specs)))
+        platformUrl = "http://${ports.host}:${readyPort(platformChild.awaitReady())}"
+        platform = HttpCalls(platformUrl)
+        val lines = targetsChild.awaitReady()
+        targets = HttpCalls("http://${ports.host}:${readyPort(lines)}")
+        targetAddresses = lines.map { it.split(' ') }.filter { it.first() == "target" }
+            .associate { (_, name, port) -> name to "${ports.host}:$port" }
+        announceVms()
+        startRelay(links)
+        return links.associate { it.name to it.listen }
+    }
+
+    private fun startRelay(links: List<RelayLink>) {
+        // The relay binds the addresses reserved for it; its own reservation is released right before.
+        ports.release(links.map { it.listen })
+        val child = launchStandIn("relay", file("relay.json", Json.encodeToString(links)))
+        relay = HttpCalls("http://${ports.host}:${readyPort(child.awaitReady())}")
+        if (!options.delayed) return
+        for ((from, to) in pairs()) {
+            val delay = if (from.region == to.region) sample.zoneDelayMs else sample.regionDelayMs
+            if (from.zone !=
+                to.zone
+            ) {
+                relay.call("POST", "/control", """{"links":["${linkName(from, to)}"],"delay_ms":$delay}""")
+            }
+        }
+    }
+
+    private fun announceVms() {
+        val entries = sample.vms.map { ListedVm(it.name, "entry", it.zone, addresses.getValue(it.name).peers) }
+        val listed = sample.targets.map { ListedVm(it.name, "target", it.zone, targetAddresses.getValue(it.name)) }
+        platform.call("POST", "/control", Json.encodeToString(PlatformControl(vms = entries + listed)))
+    }
+
+    private fun writeSettings(relayAddresses: Map<String, String>) {
+        val settings = SampleSettings(platformUrl, addresses, operators) { from, to ->
+            relayAddresses[linkName(from, to)] ?: addresses.getValue(to.name).peers
+        }
+        for (vm in sample.vms) file("${vm.name}.toml", sample.settingsText(vm, settings))
+        for (operator in operators) file("${operator.name}.key", operator.privateKey + "\n")
+    }
+
+    private fun operate(logName: String, operator: OperatorKeys, vararg arguments: String): Int {
+        val options =
+            listOf(
+                "--platform",
+                platformUrl,
+                "--operator",
+                operator.name,
+                "--key",
+                folder.resolve("${operator.name}.key").toString(),
+            )
+        val child = launch(logName, programs.operator + arguments + options)
+        return checkNotNull(child.awaitExit(OPERATOR_LIMIT)) { "anvilctl did not end within $OPERATOR_LIMIT" }
+    }
+
+    private fun launchStandIn(name: String, vararg arguments: Path): ChildProcess =
+        launch(name, programs.standIns + name + "--host" + ports.host + arguments.map { it.toString() })
+
+    private fun launch(name: String, command: List<String>): ChildProcess {
+        val log = folder.resolve("$name.log")
+        val process = ProcessBuilder(command).redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start()
+        return ChildProcess(name, process, log).also { children += it }
+    }
+
+    private fun file(name: String, text: String): Path = folder.resolve(name).also { it.writeText(text) }
+
+    private fun pairs(): List<Pair<SampleVm, SampleVm>> = sample.vms.flatMap { from ->
+        (sample.vms - from).map {
+            from to
+                it
+        }
+    }
+
+    private fun linkName(from: SampleVm, to: SampleVm): String = "${from.name}>${to.name}"
+}
+
+/** Returns the status code of `GET` [path], or `null` without an answer. */
+public fun statusCode(calls: HttpCalls, path: String): Int? = answerOrNull { calls.call("GET", path).statusCode() }
+
+private fun <T> answerOrNull(call: () -> T): T? = try {
+    call()
+} catch (failure: ExecutionException) {
+    if (failure.cause is IOException) null else throw failure
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/anvilshed/standins/OperatorKeys.kt
@@ -0,0 +1,17 @@
+package org.anvilshed.standins
+
+import java.security.KeyPairGenerator
+import java.util.Base64
+
+/**
+ * Ed25519 key pair of a sample operator, generated when the deployment is.
+ *
+ * @property publicKey base64 of the X.509 form.
+ * @property privateKey base64 of the PKCS #8 form.
+ */
+public class OperatorKeys(public val name: String) {
+    private val pair = KeyPairGenerator.getInstance("Ed25519").generateKeyPair()
+
+    public val publicKey: String = Base64.getEncoder().encodeToString(pair.public.encoded)
+    public val privateKey: String = Base64.getEncoder().encodeToString(pair.private.encoded)
+}
--- a/stand-ins/src/main/kotlin/org/anvilshed/standins/SampleBundle.kt
+++ b/stand-ins/src/main/kotlin/org/anvilshed/standins/SampleBundle.kt
@@ -8,22 +8,22 @@
  * @property leavesAt planned times (RFC 3339) by target name.
  * @property moves planned moves as service, from, to and fraction.
  */
-internal data class SampleBundleOptions(
-    val addresses: Map<String, String>,
-    val version: Long = 1,
-    val comment: String = "sample deployment",
-    val leaving: Set<String> = emptySet(),
-    val leavesAt: Map<String, String> = emptyMap(),
-    val moves: List<SampleMove> = emptyList(),
-    val regionRequestsPerSecond: Double = 5_000.0,
-    val shiftCap: Double = 0.5,
+public data class SampleBundleOptions(
+    public val addresses: Map<String, String>,
+    public val version: Long = 1,
+    public val comment: String = "sample deployment",
+    public val leaving: Set<String> = emptySet(),
+    public val leavesAt: Map<String, String> = emptyMap(),
+    public val moves: List<SampleMove> = emptyList(),
+    public val regionRequestsPerSecond: Double = 5_000.0,
+    public val shiftCap: Double = 0.5,
 )
 
 /** A planned move of a fraction of a service's requests between regions. */
-internal data class SampleMove(val service: String, val from: String, val to: String, val fraction: Double)
+public data class SampleMove(val service: String, val from: String, val to: String, val fraction: Double)
 
 /** Returns the bundle of this deployment in the format of design section 12. */
-internal fun SampleDeployment.bundleText(options: SampleBundleOptions): String = buildString {
+public fun SampleDeployment.bundleText(options: SampleBundleOptions): String = buildString {
     appendTop(options)
     for (region in regions) {
         appendTable(
@@ -104,5 +104,17 @@
 internal fun StringBuilder.appendTable(name: String, vararg values: Pair<String, Any>) {
     appendLine()
     appendLine("[[$name]]")
-    for ((key, value) in values) appendLine("$key = ${if (value is String) "\"$value\"" else value.toString()}")
+    values.forEach(::appendValue)
+}
+
+/** Appends one table; see [appendTable]. */
+internal fun StringBuilder.appendSection(name: String, vararg values: Pair<String, Any>) {
+    appendLine()
+    appendLine("[$name]")
+    values.forEach(::appendValue)
+}
+
+private fun StringBuilder.appendValue(entry: Pair<String, Any>) {
+    val (key, value) = entry
+    appendLine("$key = ${if (value is String) "\"$value\"" else value.toString()}")
 }
--- a/stand-ins/src/main/kotlin/org/anvilshed/standins/SampleDeployment.kt
+++ b/stand-ins/src/main/kotlin/org/anvilshed/standins/SampleDeployment.kt
@@ -1,22 +1,22 @@
 package org.anvilshed.standins
 
 /** A kind of requests of a sample service. */
-internal data class SampleKind(
-    val name: String,
-    val idempotent: Boolean,
-    val worth: Int,
-    val deadlineMs: Int,
-    val maximumDeadlineMs: Int,
+public data class SampleKind(
+    public val name: String,
+    public val idempotent: Boolean,
+    public val worth: Int,
+    public val deadlineMs: Int,
+    public val maximumDeadlineMs: Int,
 )
 
 /** A sample service. */
-internal data class SampleService(val name: String, val kinds: List<SampleKind>)
+public data class SampleService(val name: String, val kinds: List<SampleKind>)
 
 /** An entry VM of a sample deployment. */
-internal data class SampleVm(val name: String, val zone: String, val region: String)
+public data class SampleVm(val name: String, val zone: String, val region: String)
 
 /** A target of a sample deployment. */
-internal data class SampleTarget(val name: String, val service: String, val zone: String, val slots: Int)
+public data class SampleTarget(val name: String, val service: String, val zone: String, val slots: Int)
 
 /**
  * Shape of a sample deployment: three regions with two zones each, seven entry VMs and 36 targets (design section 2.3).
@@ -24,26 +24,26 @@
  * @property linkBitsPerSecond capacity of each direction between two regions.
  * @property zoneDelayMs, regionDelayMs one-way delay between zones of a region and between regions.
  */
-internal data class SampleDeployment(
-    val name: String,
-    val regions: List<String>,
-    val services: List<SampleService>,
-    val slots: IntRange,
-    val linkBitsPerSecond: Long,
-    val zoneDelayMs: Long,
-    val regionDelayMs: Long,
+public data class SampleDeployment(
+    public val name: String,
+    public val regions: List<String>,
+    public val services: List<SampleService>,
+    public val slots: IntRange,
+    public val linkBitsPerSecond: Long,
+    public val zoneDelayMs: Long,
+    public val regionDelayMs: Long,
 ) {
     /** Zones with their regions. */
-    val zones: Map<String, String> =
+    public val zones: Map<String, String> =
         regions.flatMap { region -> listOf("a", "b").map { "$region-$it" to region } }.toMap()
 
     /** One entry VM per zone and a second one in the first zone. */
-    val vms: List<SampleVm> = zones.flatMap { (zone, region) ->
+    public val vms: List<SampleVm> = zones.flatMap { (zone, region) ->
         (1..if (zone == zones.keys.first()) 2 else 1).map { SampleVm("$zone-$it", zone, region) }
     }
 
     /** Two targets per zone and service; the slots go round the range. */
-    val targets: List<SampleTarget> = services.flatMap { service ->
+    public val targets: List<SampleTarget> = services.flatMap { service ->
         zones.keys.flatMap { zone -> (1..2).map { Triple(service.name, zone, it) } }
     }.mapIndexed { index, (service, zone, number) ->
         SampleTarget("$service-$zone-$number", service, zone, slots.first + index % slots.count())
@@ -57,7 +57,7 @@
     SampleKind(name, idempotent = false, worth, deadlineMs, maximumDeadlineMs = 10_000)
 
 /** Chokaa Safi Systems: dispatch of crews, bookings and payouts in the evening. */
-internal val CHOKAA = SampleDeployment(
+public val CHOKAA: SampleDeployment = SampleDeployment(
     name = "chokaa",
     regions = listOf("nbo", "msa", "ksm"),
     services = listOf(
@@ -75,7 +75,7 @@
 )
 
 /** Régie des calebasses: counter stock, citizens' bookings and ledger, curing records. */
-internal val REGIE = SampleDeployment(
+public val REGIE: SampleDeployment = SampleDeployment(
     name = "regie",
     regions = listOf("mauricie", "saguenay", "estrie"),
     services = listOf(
@@ -93,4 +93,4 @@
 )
 
 /** Sample deployments by the name that `--deployment` takes. */
-internal val SAMPLE_DEPLOYMENTS: Map<String, SampleDeployment> = listOf(CHOKAA, REGIE).associateBy { it.name }
+public val SAMPLE_DEPLOYMENTS: Map<String, SampleDeployment> = listOf(CHOKAA, REGIE).associateBy { it.name }
--- a/stand-ins/src/main/kotlin/org/anvilshed/standins/TargetSettings.kt
+++ b/stand-ins/src/main/kotlin/org/anvilshed/standins/TargetSettings.kt
@@ -50,21 +50,21 @@
  * @property lastArrivalMsAgo time since the latest request that was not shed arrived; -1 if there was none.
  */
 @Serializable
-internal data class TargetCounters(
-    val name: String,
-    val port: Int,
-    val slots: Int,
-    @SerialName("in_flight") val inFlight: Int,
-    val queued: Int,
-    val peak: Int,
-    val started: Long,
-    val completed: Long,
-    val cancelled: Long,
-    val expired: Long,
-    val shed: Long,
-    val connections: Int,
-    @SerialName("peak_connections") val peakConnections: Int,
-    @SerialName("last_arrival_ms_ago") val lastArrivalMsAgo: Long,
+public data class TargetCounters(
+    public val name: String,
+    public val port: Int,
+    public val slots: Int,
+    @SerialName("in_flight") public val inFlight: Int,
+    public val queued: Int,
+    public val peak: Int,
+    public val started: Long,
+    public val completed: Long,
+    public val cancelled: Long,
+    public val expired: Long,
+    public val shed: Long,
+    public val connections: Int,
+    @SerialName("peak_connections") public val peakConnections: Int,
+    @SerialName("last_arrival_ms_ago") public val lastArrivalMsAgo: Long,
 )
 
 /** What `GET /health` of a target says. */
--- a/stand-ins/src/test/kotlin/org/anvilshed/standins/NetworkRelayTest.kt
+++ b/stand-ins/src/test/kotlin/org/anvilshed/standins/NetworkRelayTest.kt
@@ -42,7 +42,7 @@
         suspend fun startRelay(destination: Int): Started {
             val port = freePort()
             val relay = NetworkRelay(vertx, listOf(RelayLink("l", "127.0.0.1:$port", "127.0.0.1:$destination")))
-            return Started(HttpCalls(relay.start("127.0.0.1", 0).actualPort()), port)
+            return Started(callsTo(relay.start("127.0.0.1", 0).actualPort()), port)
         }
 
         fun Socket.echo(byte: Int): Int {
--- a/stand-ins/src/test/kotlin/org/anvilshed/standins/PlatformStandInTest.kt
+++ b/stand-ins/src/test/kotlin/org/anvilshed/standins/PlatformStandInTest.kt
@@ -12,7 +12,7 @@
         val vertx = singleLoopVertx()
         afterSpec { vertx.close() }
 
-        suspend fun startPlatform() = HttpCalls(PlatformStandIn(vertx).start("127.0.0.1", 0).actualPort())
+        suspend fun startPlatform() = callsTo(PlatformStandIn(vertx).start("127.0.0.1", 0).actualPort())
 
         test("an update on an old version is refused with the current version") {
             val calls = startPlatform()
--- a/stand-ins/src/test/kotlin/org/anvilshed/standins/TargetStandInsTest.kt
+++ b/stand-ins/src/test/kotlin/org/anvilshed/standins/TargetStandInsTest.kt
@@ -20,8 +20,8 @@
 
         suspend fun startTarget(slots: Int): Started {
             val targets = TargetStandIns(vertx, listOf(TargetSpec("t", "127.0.0.1", slots = slots)))
-            val control = HttpCalls(targets.start("127.0.0.1", 0).actualPort())
-            return Started(control, HttpCalls(targets.ports.getValue("t")))
+            val control = callsTo(targets.start("127.0.0.1", 0).actualPort())
+            return Started(control, callsTo(targets.ports.getValue("t")))
         }
 
         test("requests beyond the slots wait and are counted") {
