--- a/benchmark/src/main/kotlin/org/anvilshed/benchmark/EntryDirectory.kt
+++ b/benchmark/src/main/kotlin/org/anvilshed/benchmark/EntryDirectory.kt
@@ -1,6 +1,7 @@
 package org.anvilshed.benchmark
 
 import io.vertx.core.Vertx
+import io.vertx.core.json.JsonArray
 import io.vertx.core.json.JsonObject
 import io.vertx.ext.web.client.WebClient
 import java.util.concurrent.ConcurrentHashMap
@@ -17,7 +18,11 @@
  *
  * @param origins URLs of the entry VMs' callers' ports.
  */
-internal class EntryDirectory(private val vertx: Vertx, private val client: WebClient, private val origins: List<String>) {
+internal class EntryDirectory(
+    private val vertx: Vertx,
+    private val client: WebClient,
+    private val origins: List<String>,
+) {
     private val entries = ConcurrentHashMap<String, Entry>()
     private var timer: Long? = null
 
@@ -40,14 +45,14 @@
         for (origin in origins) {
             val sentAt = System.nanoTime()
             client.getAbs("$origin/v1/entry").timeout(ANSWER_LIMIT_MS).send().onSuccess { response ->
-                if (response.statusCode() == 200) accept(response.bodyAsJsonObject(), sentAt)
+                if (response.statusCode() == 200) accept(response.bodyAsJsonObject() ?: JsonObject(), sentAt)
             }
         }
     }
 
     private fun accept(answer: JsonObject, sentAt: Long) {
-        val expiresAt = sentAt + answer.getLong("ttl_ms") * 1_000_000
-        for (item in answer.getJsonArray("entries")) {
+        val expiresAt = sentAt + answer.getLong("ttl_ms", 0) * 1_000_000
+        for (item in answer.getJsonArray("entries", JsonArray())) {
             val json = item as JsonObject
             val address = json.getString("url").removePrefix("http://")
             val vm = json.getString("vm")
--- a/benchmark/src/main/kotlin/org/anvilshed/benchmark/LoadPlan.kt
+++ b/benchmark/src/main/kotlin/org/anvilshed/benchmark/LoadPlan.kt
@@ -58,7 +58,13 @@
             idempotent = kind.idempotent,
             worth = kind.worth,
             share = weights[index] / weights.sum(),
-            workMs = if (isMorning) 10 else if (kind.idempotent) 20 else 40,
+            workMs = if (isMorning) {
+                10
+            } else if (kind.idempotent) {
+                20
+            } else {
+                40
+            },
             requestBytes = if (kind.idempotent) 0 else 2_000,
             responseBytes = if (isMorning) 1_000 else 20_000,
         )
--- /dev/null
+++ b/benchmark/src/test/kotlin/org/anvilshed/benchmark/FailureProcessTest.kt
@@ -0,0 +1,31 @@
+package org.anvilshed.benchmark
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.longs.shouldBeGreaterThan
+import io.kotest.matchers.shouldBe
+import kotlin.time.Duration.Companion.seconds
+
+/** Guards promises 3 to 5 of design section 2.1 while real processes are killed, frozen and restarted. */
+class FailureProcessTest :
+    FunSpec({
+        test("killed and frozen daemons: other callers get whole answers and no booking runs twice") {
+            withDeployment {
+                val (killed, frozen) = listOf("nbo-a-1", "msa-a-1") to "ksm-a-1"
+                val others = vms - killed.toSet() - frozen
+                val load = startLoad(60.seconds, seed = 1)
+                val before = load.correct
+                killed.forEach { deployment.daemons.getValue(it).kill() }
+                deployment.daemons.getValue(frozen).freeze()
+                Thread.sleep(9_000)
+                deployment.daemons.getValue(frozen).thaw()
+                Thread.sleep(5_000)
+                val result = load.stop()
+                println("killed and frozen: ${result.failures}")
+                load.correct shouldBeGreaterThan before
+                result.count(CallerOutcome.WRONG) shouldBe 0
+                result.failures.filterKeys { key -> "CUT" in key && others.any { key.endsWith(" at $it") } } shouldBe
+                    emptyMap()
+                checkExecutions(result)
+            }
+        }
+    })
--- /dev/null
+++ b/benchmark/src/test/kotlin/org/anvilshed/benchmark/ProcessScenario.kt
@@ -0,0 +1,72 @@
+package org.anvilshed.benchmark
+
+import io.kotest.matchers.collections.shouldBeEmpty
+import org.anvilshed.standins.CHOKAA
+import org.anvilshed.standins.LocalDeployment
+import org.anvilshed.standins.Programs
+import org.anvilshed.standins.SampleDeployment
+import org.anvilshed.standins.waitUntil
+import java.nio.file.Files
+import java.util.concurrent.CompletableFuture
+import kotlin.io.path.ExperimentalPathApi
+import kotlin.io.path.deleteRecursively
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A deployment of processes with a bundle in force, and its operators. */
+internal class ProcessScenario(val deployment: LocalDeployment, val operators: OperatorActions) {
+    val vms: List<String> = deployment.sample.vms.map { it.name }
+
+    /** Starts an open-loop load on [entries] (names of entry VMs); the result completes when the load is over. */
+    fun startLoad(
+        duration: Duration,
+        seed: Long,
+        entries: List<String> = vms,
+        rate: Double = 60.0,
+        kinds: List<LoadKind> = loadKinds(deployment.sample, Peak.EVENING),
+    ): RunningLoad {
+        val plan = LoadPlan(kinds, rate, 0.milliseconds, duration, seed)
+        val run = LoadRun(plan, LoadDestination(entries.map { "http://${deployment.addresses.getValue(it).callers}" }))
+        val result = CompletableFuture.supplyAsync { run.use { it.run() } }
+        waitUntil("the load gets correct answers", 60.seconds) {
+            run.result.count(CallerOutcome.CORRECT) > 10 ||
+                result.isDone
+        }
+        return RunningLoad(run, result)
+    }
+
+    /** Fails unless the targets' log agrees with what the callers of [load] were told, at most one run each. */
+    fun checkExecutions(load: LoadResult) {
+        load.contradictions(deployment.executions()).shouldBeEmpty()
+    }
+}
+
+/** A load in progress. */
+internal class RunningLoad(private val run: LoadRun, private val result: CompletableFuture<LoadResult>) {
+    /** Ends the load now and returns its result when all requests have ended. */
+    fun stop(): LoadResult {
+        run.isStopped = true
+        return result.get()
+    }
+
+    /** Correct answers so far. */
+    val correct: Long get() = run.result.count(CallerOutcome.CORRECT)
+}
+
+/** Runs [test] against a new deployment; its processes are ended and its files deleted afterwards. */
+@OptIn(ExperimentalPathApi::class)
+internal fun withDeployment(sample: SampleDeployment = CHOKAA, test: ProcessScenario.() -> Unit) {
+    val folder = Files.createTempDirectory("anvilshed-test")
+    val programs = Programs.onClassPath(System.getProperty("java.class.path"))
+    LocalDeployment(sample, programs, folder).use { deployment ->
+        deployment.start()
+        OperatorActions(deployment).use { operators ->
+            val scenario = ProcessScenario(deployment, operators)
+            operators.publish(1, deployment.bundleText())
+            scenario.vms.forEach { deployment.awaitServing(it, 1) }
+            scenario.test()
+        }
+    }
+    folder.deleteRecursively()
+}
--- a/core/src/test/kotlin/org/anvilshed/core/seats/SeatFuzz.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/seats/SeatFuzz.kt
@@ -52,7 +52,9 @@
     STALE_READS({ _, number -> staleRate = number / 100.0 }),
     DEMAND({ vm, number -> vm.holder.changeDemand(number.toDouble()) }),
     SLOTS({ _, number -> changeSlots(number % 4, 1 + number / 4 % 6) }),
-    SEATS({ _, number -> changeIntent { it.copy(seats = it.seats * (1 + number % 2)).takeIf { it.seats <= 64 } ?: it } }),
+    SEATS({ _, number ->
+        changeIntent { it.copy(seats = it.seats * (1 + number % 2)).takeIf { it.seats <= 64 } ?: it }
+    }),
     DEADLINE({ _, number -> changeIntent { it.copy(longestDeadline = (1 + number % 6).seconds) } }),
     ISOLATION({ _, number -> changeIntent { it.copy(isolationLimit = (number % 20).seconds) } }),
 }
@@ -80,7 +82,8 @@
     }.flatMap { command -> if (command.vm % 10 == 0) listOf(command, command) else listOf(command) }
 
     private fun failureOrNull(seed: Long, commands: List<Command>): Throwable? = runCatching {
-        val simulation = SeatSimulation(seed, scope, zones = listOf(ZONE_A, ZONE_A, ZONE_A, ZONE_B).drop((seed % 3).toInt()))
+        val simulation =
+            SeatSimulation(seed, scope, zones = listOf(ZONE_A, ZONE_A, ZONE_A, ZONE_B).drop((seed % 3).toInt()))
         simulation.runFor(8000)
         for (command in commands) {
             simulation.runFor(command.gap)
@@ -91,7 +94,9 @@
         if (simulation.running().none { !it.leaving && it.zone == ZONE_A }) simulation.add(ZONE_A)
         simulation.runFor(RECOVERY_BOUND)
         // A demand that changed last may still move seats, so the whole scope need not be in use at every moment.
-        val recovered = simulation.timeUntil(5000) { simulation.usableFraction() > 1 - 1e-9 && simulation.isHandedBack() }
+        val recovered = simulation.timeUntil(5000) {
+            simulation.usableFraction() > 1 - 1e-9 && simulation.isHandedBack()
+        }
         if (recovered == null) throw AssertionError("only ${simulation.usableFraction()} of the seats are usable")
     }.exceptionOrNull()
 
--- a/core/src/test/kotlin/org/anvilshed/core/seats/SeatSimulation.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/seats/SeatSimulation.kt
@@ -131,7 +131,11 @@
         for ((target, running) in work.groupBy { it.target }) {
             // While a bundle spreads, processes may go by the old or the new number of slots.
             val slots = running.maxOf { it.slots }
-            if (running.size > slots) throw AssertionError("$target has $slots slots and ${running.size} requests at $now")
+            if (running.size >
+                slots
+            ) {
+                throw AssertionError("$target has $slots slots and ${running.size} requests at $now")
+            }
         }
         val fraction = usableFraction()
         if (fraction > 1 + 1e-9) throw AssertionError("$fraction of $scope is in use at $now")
@@ -143,7 +147,11 @@
 
     /** Runs [run] in the process [vm] after [delay], or when it continues after a freeze, unless it ends before. */
     private fun deliver(vm: SimulatedVm, delay: Long, run: () -> Unit): Unit = at(delay) {
-        if (vm.alive && now < vm.frozenUntil) deliver(vm, vm.frozenUntil - now, run) else if (vm.alive) run()
+        if (vm.alive && now < vm.frozenUntil) {
+            deliver(vm, vm.frozenUntil - now, run)
+        } else if (vm.alive) {
+            run()
+        }
     }
 
     private fun every(vm: SimulatedVm, period: Long, run: () -> Unit) {
@@ -189,7 +197,13 @@
         deliver(vm, REQUEST_TIMEOUT) { if (vm.busy) finish(timeout) }
         if (vm.cutFromStore) return
         at(delay()) {
-            val result = if (now >= outageUntil) call() else if (outageIsSilent) null else unavailable
+            val result = if (now >= outageUntil) {
+                call()
+            } else if (outageIsSilent) {
+                null
+            } else {
+                unavailable
+            }
             val lost = result == null || random.nextDouble() < lossRate
             if (!lost) deliver(vm, delay()) { finish(result) }
         }
--- a/stand-ins/src/main/kotlin/org/anvilshed/standins/LocalDeployment.kt
+++ b/stand-ins/src/main/kotlin/org/anvilshed/standins/LocalDeployment.kt
@@ -2,13 +2,18 @@
 
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.boolean
 import kotlinx.serialization.json.int
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import java.io.IOException
 import java.nio.file.Path
+import java.nio.file.attribute.PosixFilePermissions
 import java.util.concurrent.ExecutionException
 import kotlin.io.path.createDirectories
 import kotlin.io.path.readText
+import kotlin.io.path.setPosixFilePermissions
 import kotlin.io.path.writeText
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -129,6 +134,20 @@
     public fun awaitBundle(vm: String, version: Long, limit: Duration = START_LIMIT): Unit =
         waitUntil("bundle $version in force on $vm", limit) { bundleVersion(vm) == version }
 
+    /** Waits until bundle [version] is in force on [vm] and it holds valid seats of its zone and region. */
+    public fun awaitServing(vm: String, version: Long) {
+        val place = sample.vms.first { it.name == vm }
+        val scopes = setOf("zone/${place.zone}", "region/${place.region}")
+        waitUntil("$vm holds seats", START_LIMIT) {
+            val seats = status(vm)?.get("seats")?.jsonArray.orEmpty().map { it.jsonObject }
+            val held = seats.filter {
+                it.getValue("valid").jsonPrimitive.boolean &&
+                    it.getValue("held").jsonPrimitive.int > 0
+            }
+            bundleVersion(vm) == version && held.map { it.getValue("scope").jsonPrimitive.content }.containsAll(scopes)
+        }
+    }
+
     /** Returns the version of the bundle in force on [vm], or `null` if there is none or no answer. */
     public fun bundleVersion(vm: String): Long? =
         status(vm)?.get("bundle_version")?.jsonPrimitive?.content?.toLongOrNull()
@@ -214,7 +233,10 @@
     private fun writeSettings(relayAddresses: Map<String, String>) {
         val settings = SampleSettings(platformUrl, addresses, relayAddresses, operators)
         for (vm in sample.vms) file("${vm.name}.toml", sample.settingsText(vm, settings))
-        for (operator in operators) file("${operator.name}.key", operator.privateKey + "\n")
+        for (operator in operators) {
+            val key = file("${operator.name}.key", operator.privateKey + "\n")
+            key.setPosixFilePermissions(PosixFilePermissions.fromString("rw-------"))
+        }
     }
 
     private fun operate(logName: String, operator: OperatorKeys, vararg arguments: String): Int {
--- /dev/null
+++ b/stand-ins/src/main/kotlin/org/anvilshed/standins/RunLocal.kt
@@ -0,0 +1,91 @@
+package org.anvilshed.standins
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import java.net.http.HttpResponse
+import java.util.UUID
+
+/**
+ * Shows a deployment at work: bundle, lookup, read from another region, booking and the same booking once more.
+ *
+ * @param print takes each line of the output.
+ */
+public class RunLocal(private val deployment: LocalDeployment, private val print: (String) -> Unit) {
+    private val sample = deployment.sample
+    private val first = sample.vms.first()
+    private val remote = sample.vms.first { it.region != first.region }
+
+    /** Submits and signs off the sample bundle and waits until all entry VMs serve. */
+    public fun publish() {
+        print("Submitting and signing off the sample bundle with anvilctl (files in ${deployment.folder})")
+        deployment.publish(1, deployment.bundleText())
+        sample.vms.forEach { deployment.awaitServing(it.name, 1) }
+        print("Bundle 1 is in force on ${sample.vms.size} entry VMs; ${sample.targets.size} targets")
+    }
+
+    /**
+     * Sends the requests and checks their answers.
+     *
+     * @throws IllegalStateException if an answer is not as promised.
+     */
+    public fun sendRequests() {
+        val service = sample.services.first { service -> service.kinds.any { !it.idempotent } }
+        val booking = service.kinds.first { !it.idempotent }
+        val read = service.kinds.first { it.idempotent }
+        val lookup = deployment.callers(first.name).call("GET", "/v1/entry?service=${service.name}")
+        report("lookup at ${first.name}", lookup)
+        val path = "/v1/services/${service.name}/jobs/17"
+        val near = deployment.callers(first.name).call("GET", path, "", "Anvilshed-Kind", read.name)
+        report("read at ${first.name}", near)
+        val far = deployment.callers(remote.name).call("GET", path, "", "Anvilshed-Kind", read.name)
+        report("read at ${remote.name} in region ${remote.region}", far)
+        val entry = Json.decodeFromString<JsonObject>(lookup.body()).getValue("entries").jsonArray.first().jsonObject
+        val identifier = "${entry.getValue("token").jsonPrimitive.content}.${UUID.randomUUID()}"
+        val owner = entry.getValue("vm").jsonPrimitive.content
+        val other = sample.vms.first { it.region != first.region && it.name != owner }.name
+        val booked = book(owner, path, booking.name, identifier)
+        val again = book(other, path, booking.name, identifier)
+        check(booked.body() == again.body()) { "the second booking got another answer" }
+        val executions = deployment.executions()[identifier]
+        check(executions == 1) { "the booking was executed $executions times" }
+        print("Both bookings got the same answer, and the targets executed the booking once")
+    }
+
+    /** Stops all daemons gracefully and returns whether all of them ended with 0. */
+    public fun stop(): Boolean {
+        print("Stopping (SIGTERM); entry VMs serve on until no lookup answer names them any more")
+        val codes = deployment.stopDaemons()
+        print("Exit codes: " + codes.entries.joinToString { "${it.key}=${it.value}" })
+        return codes.values.all { it == 0 }
+    }
+
+    /** Prints what can be tried on a deployment that stays up. */
+    public fun printHints() {
+        val addresses = deployment.addresses.getValue(first.name)
+        print("The deployment stays up until Ctrl-C. To try:")
+        print("  curl http://${addresses.callers}/v1/entry")
+        print("  curl -i -H 'Work-Ms: 20' http://${addresses.callers}/v1/services/${sample.services.first().name}/x")
+        print("  curl http://${addresses.operations}/v1/status")
+        print("  curl http://${addresses.operations}/metrics")
+        print("  bin/anvilctl bundle history --settings ${deployment.folder.resolve("${first.name}.toml")}")
+        print("  curl -d '{\"outage\":\"refuse\"}' ${deployment.platformAddress}/control")
+    }
+
+    private fun book(vm: String, path: String, kind: String, identifier: String): HttpResponse<String> {
+        val answer = deployment.callers(vm)
+            .call("POST", path, "{}", "Anvilshed-Kind", kind, "Anvilshed-Request-Id", identifier)
+        report("booking $identifier at $vm", answer)
+        return answer
+    }
+
+    private fun report(what: String, answer: HttpResponse<String>) {
+        val headers = listOf("Anvilshed-Via", "Anvilshed-Target", "Anvilshed-Replayed").mapNotNull { name ->
+            answer.headers().firstValue(name).orElse(null)?.let { "$name: $it" }
+        }
+        print("$what: ${answer.statusCode()} ${headers.joinToString()}\n  ${answer.body().trim()}")
+        check(answer.statusCode() == 200) { "$what was not answered" }
+    }
+}
--- a/stand-ins/src/test/kotlin/org/anvilshed/standins/NetworkRelayTest.kt
+++ b/stand-ins/src/test/kotlin/org/anvilshed/standins/NetworkRelayTest.kt
@@ -81,20 +81,20 @@
         }
 
         test("a cut of one pair leaves the other dialing VMs connected") {
-        startEcho().use { echo ->
-            val relay = startRelay(echo.localPort)
-            relay.control.call("POST", "/control", """{"pairs":["l>l"],"cut":true}""")
-            relay.open().use { it.echo(1) shouldBe 1 }
-            relay.open().use { socket ->
-                // A CBOR text of one character, "l".
-                socket.getOutputStream().write(byteArrayOf(0x61, 'l'.code.toByte()))
-                socket.soTimeout = 200
-                shouldThrow<SocketTimeoutException> { socket.getInputStream().read() }
+            startEcho().use { echo ->
+                val relay = startRelay(echo.localPort)
+                relay.control.call("POST", "/control", """{"pairs":["l>l"],"cut":true}""")
+                relay.open().use { it.echo(1) shouldBe 1 }
+                relay.open().use { socket ->
+                    // A CBOR text of one character, "l".
+                    socket.getOutputStream().write(byteArrayOf(0x61, 'l'.code.toByte()))
+                    socket.soTimeout = 200
+                    shouldThrow<SocketTimeoutException> { socket.getInputStream().read() }
+                }
             }
         }
-    }
 
-    test("a refusing destination resets the accepted connection") {
+        test("a refusing destination resets the accepted connection") {
             val relay = startRelay(freePort())
             relay.open().use { socket -> shouldThrow<IOException> { socket.echo(1) } }
             // Peers take a refused connection, and not a reset one, as evidence of an ended process.
