--- /dev/null
+++ b/cli/src/main/kotlin/org/anvilshed/cli/OperatorSettings.kt
@@ -0,0 +1,71 @@
+package org.anvilshed.cli
+
+import com.akuleshov7.ktoml.TomlInputConfig
+import com.akuleshov7.ktoml.parsers.TomlParser
+import com.akuleshov7.ktoml.tree.nodes.TomlArrayOfTablesElement
+import com.akuleshov7.ktoml.tree.nodes.TomlFile
+import com.akuleshov7.ktoml.tree.nodes.TomlKeyValueArray
+import com.akuleshov7.ktoml.tree.nodes.TomlKeyValuePrimitive
+import com.akuleshov7.ktoml.tree.nodes.TomlNode
+import com.akuleshov7.ktoml.tree.nodes.TomlTable
+import com.akuleshov7.ktoml.tree.nodes.pairs.values.TomlValue
+import org.anvilshed.core.bundle.BundleVerifier
+import org.anvilshed.core.bundle.parsePublicKeyOrNull
+import java.security.PublicKey
+
+/**
+ * The part of a settings file of the daemon that operators need; the rest of the file is not checked here.
+ *
+ * @property platformUrl `[platform] url`, or `null` if it is not given.
+ * @property operators public keys by name from `[[operators]]`.
+ * @property revokedKeys names from `revoked_keys`.
+ */
+internal class OperatorSettings(
+    val platformUrl: String?,
+    val operators: Map<String, PublicKey>,
+    val revokedKeys: Set<String>,
+) {
+    fun verifier(): BundleVerifier = BundleVerifier(operators, revokedKeys)
+}
+
+/**
+ * Reads settings from the TOML document [text].
+ *
+ * @throws CommandFailure with all faults.
+ */
+internal fun readOperatorSettings(text: String): OperatorSettings {
+    // ktoml reports malformed documents by exceptions of several types and by a stack overflow.
+    val document = runCatching { TomlParser(TomlInputConfig()).parseString(text) }
+        .getOrElse { throw invalidInput("the settings are not a TOML document: ${it.message}", cause = it) }
+    val faults = mutableListOf<String>()
+    val platform = document.tables("platform").firstOrNull()
+    val operators = readOperators(document, faults)
+    val revoked = document.children.filterIsInstance<TomlKeyValueArray>().find { it.name == "revoked_keys" }
+    val revokedKeys = (revoked?.value?.content as? List<*>).orEmpty().map { (it as? TomlValue)?.content as? String }
+    if (null in revokedKeys || document.children.any { it is TomlKeyValuePrimitive && it.name == "revoked_keys" }) {
+        faults += "revoked_keys: expected an array of names of operators"
+    }
+    if (faults.isNotEmpty()) throw invalidInput("the settings have faults", faults)
+    return OperatorSettings(platform?.text("url"), operators, revokedKeys.filterNotNull().toSet())
+}
+
+private fun readOperators(document: TomlFile, faults: MutableList<String>): Map<String, PublicKey> {
+    val operators = mutableMapOf<String, PublicKey>()
+    val elements = document.tables("operators").flatMap { it.children }.filterIsInstance<TomlArrayOfTablesElement>()
+    for ((index, element) in elements.withIndex()) {
+        val name = element.text("name")
+        val key = element.text("public_key")?.let(::parsePublicKeyOrNull)
+        if (name == null) faults += "operators[$index].name: expected the name of an operator"
+        if (key == null) faults += "operators[$index].public_key: expected an Ed25519 public key (X.509) in base64"
+        if (name != null && key != null && operators.put(name, key) != null) {
+            faults += "operators[$index].name: $name is given more than once"
+        }
+    }
+    return operators
+}
+
+private fun TomlFile.tables(name: String): List<TomlTable> =
+    children.filterIsInstance<TomlTable>().filter { it.name == name }
+
+private fun TomlNode.text(key: String): String? =
+    children.filterIsInstance<TomlKeyValuePrimitive>().find { it.name == key }?.value?.content as? String
--- a/cli/src/main/kotlin/org/anvilshed/cli/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.anvilshed.cli
-
-internal const val PLACEHOLDER: Int = 0
--- a/cli/src/test/kotlin/org/anvilshed/cli/PlaceholderTest.kt
+++ /dev/null
@@ -1,6 +0,0 @@
-package org.anvilshed.cli
-
-import io.kotest.core.spec.style.FunSpec
-import io.kotest.matchers.shouldBe
-
-class PlaceholderTest : FunSpec({ test("placeholder") { PLACEHOLDER shouldBe 0 } })
--- a/wire/src/test/kotlin/org/anvilshed/wire/platform/BundleProceduresTest.kt
+++ b/wire/src/test/kotlin/org/anvilshed/wire/platform/BundleProceduresTest.kt
@@ -241,6 +241,22 @@
             other.signOff(3, "chedi").shouldBeInstanceOf<SignOffResult.SignedOff>()
         }
 
+        test("a sign-off whose key is revoked between its write and the update of bundles/current is told so") {
+            val fixture = Fixture()
+            fixture.submit(1, revoked = listOf("brice"))
+            fixture.submit(2, id = "two")
+            var isOvertaken = false
+            val gate = CallGate { call ->
+                if (call == "put bundles/00000002" && !isOvertaken) {
+                    isOvertaken = true
+                    fixture.signOff(1, "chedi")
+                }
+                CallFate.DELIVER
+            }
+            fixture.signOff(2, "brice", gate = gate).shouldBeInstanceOf<SignOffResult.Refused>()
+            fixture.current() shouldBe 1
+        }
+
         test("a current bundle whose signer's key is no longer accepted can still be replaced") {
             val fixture = Fixture()
             fixture.release(1)
--- a/wire/src/test/kotlin/org/anvilshed/wire/platform/BundleWorld.kt
+++ b/wire/src/test/kotlin/org/anvilshed/wire/platform/BundleWorld.kt
@@ -50,6 +50,27 @@
     }
 
     private fun execute(command: SequenceCommand) {
+        when (command) {
+            is SequenceCommand.OperatorCommand -> executeOperator(command)
+
+            is SequenceCommand.Outage -> isOutage = command.isOn
+
+            SequenceCommand.DeliverDelayed -> platform.deliverDelayed()
+
+            is SequenceCommand.ReadPlatform -> readPlatform(command.vm % FIRST_CUT_VM, effective(command.fate))
+
+            is SequenceCommand.Heartbeat ->
+                heartbeat(command.from % VM_COUNT, command.to % VM_COUNT, command.isReplyLost)
+
+            is SequenceCommand.Restart -> restart(command.vm % VM_COUNT)
+
+            is SequenceCommand.OfferForged -> offerForged(command)
+
+            is SequenceCommand.StoreForged -> storeForged(command)
+        }
+    }
+
+    private fun executeOperator(command: SequenceCommand.OperatorCommand) {
         when (command) {
             is SequenceCommand.Submit -> submit(command)
 
@@ -67,21 +88,6 @@
             is SequenceCommand.Finish -> waiting(command.procedure)?.let(::finish)
 
             is SequenceCommand.Crash -> waiting(command.procedure)?.let { processes -= it }
-
-            is SequenceCommand.Outage -> isOutage = command.isOn
-
-            SequenceCommand.DeliverDelayed -> platform.deliverDelayed()
-
-            is SequenceCommand.ReadPlatform -> readPlatform(command.vm % FIRST_CUT_VM, effective(command.fate))
-
-            is SequenceCommand.Heartbeat ->
-                heartbeat(command.from % VM_COUNT, command.to % VM_COUNT, command.isReplyLost)
-
-            is SequenceCommand.Restart -> restart(command.vm % VM_COUNT)
-
-            is SequenceCommand.OfferForged -> offerForged(command)
-
-            is SequenceCommand.StoreForged -> storeForged(command)
         }
     }
 
