--- a/benchmark/src/main/kotlin/org/anvilshed/benchmark/LoadRun.kt
+++ b/benchmark/src/main/kotlin/org/anvilshed/benchmark/LoadRun.kt
@@ -115,7 +115,9 @@
             }
 
             // A caller whose entries have expired looks up again before it sends; its latency goes on counting.
-            System.nanoTime() - call.arrival < LOOKUP_LIMIT_NANOSECONDS -> vertx.setTimer(LOOKUP_RETRY_MS) { send(call) }
+            System.nanoTime() - call.arrival < LOOKUP_LIMIT_NANOSECONDS -> vertx.setTimer(LOOKUP_RETRY_MS) {
+                send(call)
+            }
 
             else -> finish(call, CallerOutcome.NOT_SENT, "no-entry", null)
         }
--- a/stand-ins/src/main/kotlin/org/anvilshed/standins/LocalDeployment.kt
+++ b/stand-ins/src/main/kotlin/org/anvilshed/standins/LocalDeployment.kt
@@ -242,8 +242,8 @@
     private fun operate(logName: String, operator: OperatorKeys, vararg arguments: String): Int {
         val options =
             listOf(
-                "--platform",
-                platformUrl,
+                "--settings",
+                folder.resolve("${sample.vms.first().name}.toml").toString(),
                 "--operator",
                 operator.name,
                 "--key",
