--- a/daemon/src/main/kotlin/org/anvilshed/daemon/http/ServiceRoute.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/http/ServiceRoute.kt
@@ -5,6 +5,7 @@
 import io.vertx.kotlin.coroutines.dispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import org.anvilshed.daemon.SharedState
 import org.anvilshed.daemon.request.IncomingRequest
@@ -33,7 +34,10 @@
             return
         }
         shared.rate.increment()
-        val job = scope.launch(shared.vertx.dispatcher(), CoroutineStart.UNDISPATCHED) {
+        var job: Job? = null
+        // The handler runs when the connection ends before the response did.
+        request.response().closeHandler { job?.cancel() }
+        job = scope.launch(shared.vertx.dispatcher(), CoroutineStart.UNDISPATCHED) {
             try {
                 serve(request, body)
             } finally {
@@ -41,8 +45,6 @@
                 body.discard()
             }
         }
-        // The handler runs when the connection ends before the response did.
-        request.response().closeHandler { job.cancel() }
     }
 
     private suspend fun serve(request: HttpServerRequest, body: StreamBody) {
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/settings/SettingsReader.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/settings/SettingsReader.kt
@@ -66,8 +66,6 @@
         val log = table("log", ::readLog)
         val peers = array("peers", ::readPeer)
         val operators = array("operators", ::readOperator)
-        reportRepeated("peers", peers.map { it?.name })
-        reportRepeated("operators", operators.map { it?.first })
         if (faults.isNotEmpty()) return SettingsResult.Invalid(faults.toList())
         return SettingsResult.Valid(
             Settings(
@@ -104,16 +102,16 @@
         val found = tables.filter { it.name == name }.flatMap { it.children }
         val elements = found.filterIsInstance<TomlArrayOfTablesElement>()
         if (elements.size != found.size) faults += SettingsFault(name, "expected tables [[$name]]")
-        return elements.mapIndexed { index, element ->
-            val section = SettingsSection("$name[$index]", element, faults)
-            read(section).also { section.reportUnknownKeys() }
-        }
+        val sections = elements.mapIndexed { index, element -> SettingsSection("$name[$index]", element, faults) }
+        reportRepeated(sections)
+        return sections.map { section -> read(section).also { section.reportUnknownKeys() } }
     }
 
-    private fun reportRepeated(path: String, names: List<Any?>) {
+    private fun reportRepeated(sections: List<SettingsSection>) {
+        val names = sections.map { it.rawTextOrNull("name") }
         names.forEachIndexed { index, name ->
             if (name != null && names.indexOf(name) < index) {
-                faults += SettingsFault("$path[$index].name", "'$name' is given more than once")
+                sections[index].report("name", "'$name' is given more than once")
             }
         }
     }
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/settings/SettingsSection.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/settings/SettingsSection.kt
@@ -56,6 +56,9 @@
         return if (key in values) long(key, allowed, allowed.first) else null
     }
 
+    /** Returns the string under [key], whether or not it is valid, or `null`. */
+    fun rawTextOrNull(key: String): String? = values[key]?.content as? String
+
     fun texts(key: String): Set<String>? = read(key, emptySet()) { content ->
         val items = (content as? List<*>)?.map { (it as? TomlValue)?.content as? String }
         items?.takeIf { list -> list.all { it != null } }?.filterNotNull()?.toSet()
--- a/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/FakePlatform.kt
+++ b/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/FakePlatform.kt
@@ -37,9 +37,10 @@
         val router = Router.router(vertx)
         router.route().handler(BodyHandler.create(false))
         router.route().handler { if (outage) it.response().setStatusCode(503).end() else it.next() }
+        // A route that ends in a wildcard also matches its prefix without the slash.
+        router.get("/v1/objects").handler(::list)
         router.get("/v1/objects/*").handler(::read)
         router.put("/v1/objects/*").handler(::write)
-        router.get("/v1/objects").handler(::list)
         router.get("/v1/watch").handler(::watch)
         router.get("/v1/vms").handler { it.json(JsonObject().put("vms", vms)) }
         server = vertx.createHttpServer().requestHandler(router).listen(0, "127.0.0.1").coAwait()
--- a/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/Testbed.kt
+++ b/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/Testbed.kt
@@ -17,8 +17,12 @@
 import org.anvilshed.daemon.settings.readSettings
 import kotlin.time.Duration.Companion.seconds
 
+/** Longest wait for a condition. */
 internal val TIMEOUT = 30.seconds
 
+/** Bound of a whole test, so that a request that never ends fails the test. */
+internal val TEST_TIMEOUT = 60.seconds
+
 /** A zone of the testbed; all zones have targets of their own. */
 internal data class TestZone(val name: String, val region: String)
 
@@ -91,6 +95,7 @@
     fun request(daemon: Daemon, method: HttpMethod, path: String, kind: String): HttpRequest<Buffer> =
         client.request(method, daemon.ports.callers, "127.0.0.1", "/v1/services/booking$path")
             .putHeader("Anvilshed-Kind", kind)
+            .timeout(TIMEOUT.inWholeMilliseconds)
 
     suspend fun read(daemon: Daemon, path: String): HttpResponse<Buffer> =
         request(daemon, HttpMethod.GET, path, "read").send().coAwait()
