Let old bundles reach VMs in the random sequences

The sequence test did not notice a VM that took an older version: a stale read concerned the pointer and the record alike, so that no valid older bundle was ever offered. Stale reads now concern the pointer alone, replies of peers can arrive late, and releases without interruption give enough versions.

--- a/wire/src/test/kotlin/org/anvilshed/wire/platform/BundleWorld.kt
+++ b/wire/src/test/kotlin/org/anvilshed/wire/platform/BundleWorld.kt
@@ -33,6 +33,7 @@
     private val digestInForce = mutableMapOf<Long, BundleDigest>()
     private val submittedIds = mutableMapOf<Long, String>()
     private val idsWithoutEffect = mutableSetOf<String>()
+    private val lateReplies = mutableListOf<Pair<Int, SignedBundle>>()
     private var highestReported = 0L
     private var hasRevocations = false
     private var isOutage = false
@@ -60,7 +61,9 @@
             is SequenceCommand.ReadPlatform -> readPlatform(command.vm % FIRST_CUT_VM, effective(command.fate))
 
             is SequenceCommand.Heartbeat ->
-                heartbeat(command.from % VM_COUNT, command.to % VM_COUNT, command.isReplyLost)
+                heartbeat(command.from % VM_COUNT, command.to % VM_COUNT, command.reply)
+
+            SequenceCommand.DeliverLateReplies -> deliverLateReplies()
 
             is SequenceCommand.Restart -> restart(command.vm % VM_COUNT)
 
@@ -76,6 +79,13 @@
 
             is SequenceCommand.SignOff -> signOff(command)
 
+            is SequenceCommand.Release -> {
+                submit(SequenceCommand.Submit(command.author, offset = 1, revoke = Int.MAX_VALUE, keepRevoked = true))
+                finish(processes.last())
+                signOff(SequenceCommand.SignOff(command.second, offset = 1))
+                finish(processes.last())
+            }
+
             SequenceCommand.Repair -> launch({ procedures(it).repairCurrent() }) { }
 
             is SequenceCommand.Step -> waiting(command.procedure)?.step(effective(command.fate))
@@ -191,16 +201,27 @@
     }
 
     private fun readPlatform(vm: Int, fate: CallFate) {
-        val client = BundleStore(platform.client { fate })
+        val client = BundleStore(platform.client { if (it.endsWith("current")) fate else CallFate.DELIVER })
         val record = runWithoutWaiting {
             client.readCurrent().valueOrNull()?.let { client.readRecord(it.value.version).valueOrNull() }
         }
         record?.let { offer(vm, it.value) }
     }
 
-    private fun heartbeat(from: Int, to: Int, isReplyLost: Boolean) {
-        val before = vms[to].state.inForce
-        if (from != to) vms[to].onHeartbeat(vms[from], isReplyLost, now)?.let { checkAccepted(it, before) }
+    private fun heartbeat(from: Int, to: Int, reply: ReplyFate) {
+        if (from == to || !vms[to].requests(vms[from], now)) return
+        val signed = vms[from].state.inForce?.signed ?: return
+        when (reply) {
+            ReplyFate.IN_TIME -> offer(to, signed)
+            ReplyFate.LATE -> lateReplies += to to signed
+            ReplyFate.LOST -> Unit
+        }
+    }
+
+    private fun deliverLateReplies() {
+        val replies = lateReplies.toList()
+        lateReplies.clear()
+        replies.forEach { (vm, signed) -> offer(vm, signed) }
     }
 
     private fun offer(vm: Int, signed: SignedBundle) {
@@ -257,13 +278,14 @@
     private fun heal() {
         isOutage = false
         platform.deliverDelayed()
+        deliverLateReplies()
         while (true) finish(waiting(0) ?: break)
         checkPromises()
         runWithoutWaiting { procedures { CallFate.DELIVER }.repairCurrent() }
         repeat(VM_COUNT) { round ->
             now += 31.seconds
             for (vm in 0 until FIRST_CUT_VM) readPlatform(vm, CallFate.DELIVER)
-            for (vm in 0 until VM_COUNT) heartbeat((vm + round) % VM_COUNT, vm, isReplyLost = false)
+            for (vm in 0 until VM_COUNT) heartbeat((vm + round) % VM_COUNT, vm, ReplyFate.IN_TIME)
         }
         checkPromises()
     }
--- a/wire/src/test/kotlin/org/anvilshed/wire/platform/SequenceCommand.kt
+++ b/wire/src/test/kotlin/org/anvilshed/wire/platform/SequenceCommand.kt
@@ -12,6 +12,9 @@
 
     data class SignOff(val operator: Int, val offset: Int) : OperatorCommand
 
+    /** Two operators submit and sign off the next version without any other call between theirs. */
+    data class Release(val author: Int, val second: Int) : OperatorCommand
+
     data object Repair : OperatorCommand
 
     /** Lets one waiting call of an operator happen. */
@@ -31,9 +34,12 @@
     /** Writes that were delayed in the network reach the platform. */
     data object DeliverDelayed : SequenceCommand
 
+    /** A VM reads `bundles/current`, possibly stale, and then the record that it names. */
     data class ReadPlatform(val vm: Int, val fate: CallFate) : SequenceCommand
 
-    data class Heartbeat(val from: Int, val to: Int, val isReplyLost: Boolean) : SequenceCommand
+    data class Heartbeat(val from: Int, val to: Int, val reply: ReplyFate) : SequenceCommand
+
+    data object DeliverLateReplies : SequenceCommand
 
     data class Restart(val vm: Int) : SequenceCommand
 
@@ -42,6 +48,9 @@
     data class StoreForged(val offset: Int, val kind: ForgeryKind) : SequenceCommand
 }
 
+/** What happens to the reply to a request for a bundle. */
+enum class ReplyFate { IN_TIME, LATE, LOST }
+
 /** How a bundle that must not come into force is made. */
 enum class ForgeryKind { SINGLE_SIGNED, SAME_OPERATOR, UNKNOWN_SECOND, REVOKED_SECOND, CHANGED_BYTES, MOVED_SIGN_OFF }
 
@@ -52,7 +61,7 @@
 private fun randomCommand(random: Random): SequenceCommand =
     if (random.nextInt(40) < 27) randomOperatorCommand(random) else randomOtherCommand(random)
 
-private fun randomOperatorCommand(random: Random): SequenceCommand = when (random.nextInt(27)) {
+private fun randomOperatorCommand(random: Random): SequenceCommand = when (random.nextInt(30)) {
     in 0..5 -> SequenceCommand.Submit(
         operator = random.nextInt(12),
         offset = random.nextInt(4),
@@ -70,14 +79,19 @@
 
     in 23..25 -> SequenceCommand.Finish(random.nextInt(8))
 
+    in 26..28 -> SequenceCommand.Release(random.nextInt(12), random.nextInt(12))
+
     else -> SequenceCommand.Crash(random.nextInt(8))
 }
 
 private fun randomOtherCommand(random: Random): SequenceCommand = when (random.nextInt(13)) {
     0 -> SequenceCommand.Outage(random.nextInt(3) == 0)
     1 -> SequenceCommand.DeliverDelayed
-    in 2..4 -> SequenceCommand.ReadPlatform(random.nextInt(8), FATES.random(random))
-    in 5..9 -> SequenceCommand.Heartbeat(random.nextInt(8), random.nextInt(8), random.nextInt(5) == 0)
+    2 -> SequenceCommand.ReadPlatform(random.nextInt(8), FATES.random(random))
+    3 -> SequenceCommand.ReadPlatform(random.nextInt(8), CallFate.DELIVER)
+    4 -> SequenceCommand.ReadPlatform(random.nextInt(8), CallFate.STALE)
+    in 5..8 -> SequenceCommand.Heartbeat(random.nextInt(8), random.nextInt(8), ReplyFate.entries.random(random))
+    9 -> SequenceCommand.DeliverLateReplies
     10 -> SequenceCommand.Restart(random.nextInt(8))
     11 -> SequenceCommand.OfferForged(random.nextInt(8), ForgeryKind.entries.random(random))
     else -> SequenceCommand.StoreForged(random.nextInt(1, 4), ForgeryKind.entries.random(random))
--- a/wire/src/test/kotlin/org/anvilshed/wire/platform/VmProcess.kt
+++ b/wire/src/test/kotlin/org/anvilshed/wire/platform/VmProcess.kt
@@ -25,11 +25,9 @@
         return (decision.outcome as? BundleOutcome.CameIntoForce)?.bundle?.also { dissemination.onAccepted(it.version) }
     }
 
-    /** Receives a heartbeat of [sender] and returns the bundle that it requested and took, if any. */
-    fun onHeartbeat(sender: VmProcess, isReplyLost: Boolean, now: MonotonicTime): VerifiedBundle? {
+    /** Receives a heartbeat of [sender] and returns whether it requests the bundle of the sender. */
+    fun requests(sender: VmProcess, now: MonotonicTime): Boolean {
         val action = dissemination.onHeartbeat(sender.name, sender.advertised, advertised, now)
-        val reply = sender.state.inForce?.signed
-        if (action !is DisseminationAction.RequestBundle || isReplyLost || reply == null) return null
-        return offer(reply) ?: null.also { dissemination.onRejected(sender.name, action.version, now) }
+        return action is DisseminationAction.RequestBundle
     }
 }
