--- /dev/null
+++ b/benchmark/src/main/kotlin/org/anvilshed/benchmark/micro/SlopeBenchmark.kt
@@ -0,0 +1,217 @@
+package org.anvilshed.benchmark.micro
+
+import kotlinx.serialization.json.Json
+import org.anvilshed.core.Incarnation
+import org.anvilshed.core.MonotonicTime
+import org.anvilshed.core.RegionName
+import org.anvilshed.core.ServiceName
+import org.anvilshed.core.VmIdentity
+import org.anvilshed.core.VmName
+import org.anvilshed.core.ZoneName
+import org.anvilshed.core.bundle.BundleDigest
+import org.anvilshed.core.execution.Admission
+import org.anvilshed.core.execution.ExecutionLimits
+import org.anvilshed.core.execution.ExecutionRecords
+import org.anvilshed.core.execution.IdentifierWindows
+import org.anvilshed.core.execution.RecordedAnswer
+import org.anvilshed.core.execution.RequestIdentifier
+import org.anvilshed.core.lookup.EntryCandidate
+import org.anvilshed.core.lookup.EntryDirectory
+import org.anvilshed.core.membership.AdvertisedBundle
+import org.anvilshed.core.membership.PeerContact
+import org.anvilshed.core.membership.PeerView
+import org.anvilshed.core.membership.selectNeighbors
+import org.anvilshed.core.routing.LocalLimit
+import org.anvilshed.core.routing.MoveLimit
+import org.anvilshed.core.routing.PeerPlace
+import org.anvilshed.core.routing.PeerRegistry
+import org.anvilshed.core.routing.RouteChooser
+import org.anvilshed.core.routing.RouteLimits
+import org.anvilshed.core.routing.RouteRequest
+import org.anvilshed.core.routing.TargetTable
+import org.anvilshed.core.routing.buildRegionPlan
+import org.anvilshed.core.seats.SeatLedger
+import org.anvilshed.core.seats.SeatMember
+import org.anvilshed.core.seats.SeatScope
+import org.anvilshed.core.seats.SeatSet
+import org.anvilshed.core.seats.encodeOwners
+import org.anvilshed.core.seats.idealAllocation
+import org.anvilshed.wire.peer.DeclaredState
+import org.anvilshed.wire.peer.Heartbeat
+import org.anvilshed.wire.peer.ServiceLoad
+import org.anvilshed.wire.peer.decodeFrame
+import org.anvilshed.wire.peer.encodeFrame
+import kotlin.random.Random
+import kotlin.time.Clock
+
+private const val SEATS_PER_MEMBER = 4
+private const val BYTES_PER_ANSWER = 512
+private const val REGIONS = 18
+private const val WARM_UP_SIZE = 1_000
+private const val ZONES = 39
+private const val NANOS_PER_MICRO = 1e3
+private const val BYTES_PER_MEGABYTE = 1e6
+private const val LEDGER_ROUNDS = 500
+private const val VIEW_ROUNDS = 100
+private const val HEARTBEAT_ROUNDS = 20_000
+private const val DECISION_ROUNDS = 1_000_000
+private const val ANSWER_ROUNDS = 100_000
+private val ZONE = ZoneName("zone-0")
+private val SERVICE = ServiceName("booking")
+
+private fun identity(index: Int) = VmIdentity(VmName("vm-$index"), Incarnation(index.toLong()))
+
+/** Cost of the seat ledger of one scope by its number of members. */
+private fun seatLedgerRow(members: Int): List<Double> {
+    val ledger = ledgerOf(members)
+    val text = Json.encodeToString(SeatLedger.serializer(), ledger)
+    val codec = costOf(LEDGER_ROUNDS) {
+        Json.decodeFromString(SeatLedger.serializer(), Json.encodeToString(SeatLedger.serializer(), ledger))
+    }
+    val all = SeatSet.of(ledger.seats, (0 until ledger.seats).toList())
+    val ideal = costOf(LEDGER_ROUNDS) { idealAllocation(SeatScope.OfZone(ZONE), ledger.members, all) }
+    return listOf(text.length.toDouble(), codec.nanoseconds / NANOS_PER_MICRO, ideal.nanoseconds / NANOS_PER_MICRO)
+}
+
+private fun ledgerOf(members: Int): SeatLedger {
+    val list = List(members) {
+        SeatMember(identity(it), ZONE, "10.0.0.$it:7000", renewal = 1_000, writeId = it.toLong())
+    }
+    val seats = members * SEATS_PER_MEMBER
+    return SeatLedger(seats, list, encodeOwners(List(seats) { list[it / SEATS_PER_MEMBER].identity }))
+}
+
+/** Cost of the view of all peers by the number of known VMs. */
+private fun membershipRow(vms: Int): List<Double> {
+    val before = usedHeapAfterCollection()
+    val view = PeerView(identity(vms))
+    repeat(vms) { index ->
+        val contact = PeerContact(VmName("vm-$index"), ZoneName("zone-${index % ZONES}"), "10.0.${index / 250}.1:7000")
+        view.heard(contact, Incarnation(index.toLong()), isLeaving = false, MonotonicTime(0))
+    }
+    val bytes = usedHeapAfterCollection() - before
+    val self = PeerContact(VmName("self"), ZoneName("zone-1"), "10.9.9.9:7000")
+    val contacts = view.contacts()
+    val choice = costOf(VIEW_ROUNDS) {
+        selectNeighbors(self, contacts, view.neighborCandidates(MonotonicTime(it.toLong())))
+    }
+    val snapshot = costOf(VIEW_ROUNDS) { view.peers(MonotonicTime(it.toLong())) }
+    return listOf(
+        bytes.toDouble() / vms,
+        choice.nanoseconds / NANOS_PER_MICRO,
+        snapshot.nanoseconds / NANOS_PER_MICRO,
+    )
+}
+
+/** Size and cost of a heartbeat of three services by the number of peers that it tells. */
+private fun heartbeatRow(peers: Int): List<Double> {
+    val heartbeat = Heartbeat(
+        sequence = 123_456,
+        state = DeclaredState.SERVING,
+        bundle = AdvertisedBundle(123, BundleDigest("0".repeat(64))),
+        identifierWindow = 42,
+        loads = List(3) { ServiceLoad(ServiceName("service-$it"), 8, 4, 0, 3) },
+        targetsLeaving = emptyList(),
+        knownPeers = List(peers) { PeerContact(VmName("vm-$it"), ZONE, "10.0.0.$it:7000", RegionName("region-0")) },
+    )
+    val cost = costOf(HEARTBEAT_ROUNDS) { decodeFrame(encodeFrame(heartbeat)) }
+    return listOf(encodeFrame(heartbeat).size.toDouble(), cost.nanoseconds / NANOS_PER_MICRO)
+}
+
+/** Cost of a routing decision by the number of sites, each with one peer. */
+private fun routingRow(sites: Int): List<Double> {
+    val registry = PeerRegistry()
+    val places = List(sites) { PeerPlace(identity(it), ZoneName("zone-$it"), RegionName("region-$it")) }
+    registry.applyPeers(places, listOf(SERVICE))
+    val routes = registry.routesFor(SERVICE)
+    routes.forEach { it.recordReport(freeSlots = Int.MAX_VALUE / 2, MonotonicTime(0)) }
+    val plan = buildRegionPlan(
+        SERVICE,
+        ZoneName("own"),
+        RegionName("own"),
+        listOf(ZoneName("own")),
+        places.map { it.region },
+        moves = emptyList(),
+        TargetTable.EMPTY,
+        routes,
+    )
+    val chooser = RouteChooser(RouteLimits(LocalLimit { null }, MoveLimit { _, _ -> null }))
+    val random = Random(1)
+    val wallNow = Clock.System.now()
+    val cost = costOf(DECISION_ROUNDS) {
+        chooser.route(plan, RouteRequest(MonotonicTime(it.toLong()), wallNow, random))
+    }
+    return listOf(cost.nanoseconds, cost.allocatedBytes)
+}
+
+/** Cost of the records of non-idempotent requests with answers of [BYTES_PER_ANSWER] bytes by their number. */
+private fun recordsRow(count: Int): List<Double> {
+    val before = usedHeapAfterCollection()
+    val records = ExecutionRecords(identity(1), IdentifierWindows(MonotonicTime(0)), ExecutionLimits())
+    val start = System.nanoTime()
+    repeat(count) { runRequest(records, it) }
+    val elapsed = System.nanoTime() - start
+    val bytes = usedHeapAfterCollection() - before
+    check(records.recordCount == count) { "${records.recordCount} records instead of $count" }
+    return listOf(bytes.toDouble() / count, elapsed / NANOS_PER_MICRO / count)
+}
+
+private fun runRequest(records: ExecutionRecords, index: Int) {
+    val now = MonotonicTime(index.toLong())
+    val identifier = RequestIdentifier(records.owner, window = 0, nonce = "nonce-%08d".format(index))
+    val admitted = records.admit(identifier) { now }
+    check(admitted is Admission.Admitted) { "request $index was not admitted" }
+    admitted.execution.dispatch(MonotonicTime(Long.MAX_VALUE), { now }) { null }
+    admitted.execution.complete(RecordedAnswer(200, emptyList(), ByteArray(BYTES_PER_ANSWER), target = null))
+}
+
+/** Cost of a lookup answer by the number of entry VMs it chooses from, in 18 regions. */
+private fun entryRow(size: Int): List<Double> {
+    val directory = EntryDirectory(
+        List(size) {
+            val region = RegionName("region-${it % REGIONS}")
+            EntryCandidate(identity(it), ZoneName("zone-${it % ZONES}"), region, "http://10.0.0.$it:80", 1, 1.0)
+        },
+    )
+    val region = RegionName("region-3")
+    val cost = costOf(ANSWER_ROUNDS) { directory.select(it.toLong(), region, zone = null, count = 3) }
+    return listOf(cost.nanoseconds, cost.allocatedBytes)
+}
+
+private fun clientBlocksRow(blocks: Int): List<Double> {
+    val figures = measureLookupTable(blocks, seed = 1)
+    return listOf(
+        figures.tableBytes.toDouble() / blocks,
+        figures.tableBytes / BYTES_PER_MEGABYTE,
+        figures.lookupNanoseconds,
+        figures.changeMicroseconds,
+    )
+}
+
+private class SlopeTable(val columns: List<String>, val row: (Int) -> List<Double>)
+
+private val tables = mapOf(
+    "client-blocks" to
+        SlopeTable(listOf("blocks", "bytes/block", "MB", "lookup ns", "change us"), ::clientBlocksRow),
+    "lookup-answers" to SlopeTable(listOf("candidates", "ns", "bytes allocated"), ::entryRow),
+    "routing" to SlopeTable(listOf("sites", "ns", "bytes allocated"), ::routingRow),
+    "records" to SlopeTable(listOf("records", "heap bytes each", "us each"), ::recordsRow),
+    "seat-ledger" to SlopeTable(listOf("members", "JSON bytes", "codec us", "allocation us"), ::seatLedgerRow),
+    "membership" to SlopeTable(listOf("VMs", "heap bytes each", "neighbors us", "snapshot us"), ::membershipRow),
+    "heartbeat" to SlopeTable(listOf("peers told", "bytes", "codec us"), ::heartbeatRow),
+)
+
+/**
+ * Prints one row of a table of slopes of `docs/CAPACITY.md`. The arguments are the name of the table and the size; each
+ * row is measured in a JVM of its own, since objects of an earlier row would count as heap in use.
+ */
+public fun main(arguments: Array<String>) {
+    val table = arguments.getOrNull(0)?.let(tables::get)
+    val size = arguments.getOrNull(1)?.toIntOrNull()
+    require(table != null && size != null) { "usage: TABLE SIZE, where TABLE is one of ${tables.keys}" }
+    // Classes loaded and released during the first run would count as heap of the table.
+    table.row(minOf(size, WARM_UP_SIZE))
+    val row = table.row(size)
+    val cells = table.columns.drop(1).zip(row) { column, value -> "%s %.1f".format(column, value) }
+    println("${arguments[0]}: ${table.columns.first()} $size, " + cells.joinToString(", "))
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/peers/PeerDirectory.kt
@@ -0,0 +1,110 @@
+package org.anvilshed.daemon.peers
+
+import org.anvilshed.core.MonotonicTime
+import org.anvilshed.core.VmIdentity
+import org.anvilshed.core.VmName
+import org.anvilshed.core.ZoneName
+import org.anvilshed.core.membership.PeerContact
+import org.anvilshed.core.membership.PeerState
+import org.anvilshed.core.membership.PeerView
+import org.anvilshed.core.membership.selectNeighbors
+import org.anvilshed.core.membership.selectWatchers
+import org.anvilshed.daemon.settings.PeerSettings
+import org.anvilshed.daemon.steering.LocalVm
+import org.anvilshed.wire.peer.DeclaredState
+import org.anvilshed.wire.peer.Heartbeat
+import org.anvilshed.wire.peer.Hello
+import kotlin.time.Duration
+
+/**
+ * Peers and what they said about themselves. Changed by the control thread; [peers] may be read by any thread.
+ */
+internal class PeerDirectory(private val local: LocalVm) {
+    private class Details(val hello: Hello) {
+        var declared = DeclaredState.STARTING
+        var identifierWindow = 0L
+        var bundleVersion = 0L
+        var roundTrip: Duration? = null
+    }
+
+    private val view = PeerView(local.identity)
+    private val details = HashMap<VmIdentity, Details>()
+    private val self = PeerContact(local.name, local.zone, local.peers, local.region)
+
+    /** Processes that were heard, as of the last [refresh]. */
+    @Volatile
+    var peers: List<PeerInfo> = emptyList()
+        private set
+
+    fun addConfigured(peer: PeerSettings, now: MonotonicTime) {
+        view.addSeed(PeerContact(peer.name, peer.zone, peer.address.toString(), peer.region), now)
+    }
+
+    /** Records an acknowledgement, or a greeting on a new link, of the process that sent [hello]. */
+    fun heard(hello: Hello, now: MonotonicTime) {
+        detailsOf(hello)
+        view.heard(hello.toContact(), hello.vm.incarnation, isLeaving = false, now)
+    }
+
+    /** Records a heartbeat of the process that sent [hello]. Returns whether its state has changed. */
+    fun heard(hello: Hello, heartbeat: Heartbeat, now: MonotonicTime): Boolean {
+        val known = detailsOf(hello)
+        val changed = known.declared != heartbeat.state
+        known.declared = heartbeat.state
+        known.identifierWindow = maxOf(known.identifierWindow, heartbeat.identifierWindow)
+        known.bundleVersion = heartbeat.bundle?.version ?: 0
+        view.heard(hello.toContact(), hello.vm.incarnation, heartbeat.state == DeclaredState.LEAVING, now)
+        heartbeat.knownPeers.forEach { view.learn(it, now) }
+        return changed
+    }
+
+    /** Records that a heartbeat was sent to [name]. */
+    fun attempted(name: VmName, now: MonotonicTime): Unit = view.attempted(name, now)
+
+    /** Records the time between a heartbeat to [vm] and its acknowledgement. */
+    fun measured(vm: VmIdentity, roundTrip: Duration) {
+        val known = details[vm] ?: return
+        known.roundTrip = minOf(known.roundTrip ?: roundTrip, roundTrip)
+    }
+
+    /** Replaces the contacts that the platform's VM list names. */
+    fun replaceListed(contacts: List<PeerContact>, now: MonotonicTime): Unit = view.replaceListed(contacts, now)
+
+    /** Takes the snapshot [peers] at [now] and forgets old processes. */
+    fun refresh(now: MonotonicTime) {
+        view.forgetOld(now)
+        peers = view.peers(now).mapNotNull { peer ->
+            val incarnation = peer.incarnation ?: return@mapNotNull null
+            val vm = VmIdentity(peer.contact.name, incarnation)
+            details[vm]?.toInfo(peer.state, peer.lastHeard ?: now)
+        }
+        details.keys.retainAll(peers.mapTo(HashSet()) { it.vm })
+    }
+
+    /** Returns the peers to which heartbeats are sent. */
+    fun neighbors(now: MonotonicTime): List<PeerContact> =
+        selectNeighbors(self, view.contacts(), view.neighborCandidates(now))
+
+    /** Returns the VMs of [zone] that watch the platform, the first one writing the status of the zone. */
+    fun watchers(zone: ZoneName, isLeaving: Boolean, now: MonotonicTime): List<VmName> =
+        selectWatchers(zone, view.liveNames(zone, now) + listOfNotNull(local.name.takeIf { !isLeaving }))
+
+    fun contacts(): List<PeerContact> = view.contacts()
+
+    private fun detailsOf(hello: Hello): Details = details.getOrPut(hello.vm) { Details(hello) }
+
+    private fun Details.toInfo(state: PeerState, heardAt: MonotonicTime) = PeerInfo(
+        vm = hello.vm,
+        zone = hello.zone,
+        region = hello.region,
+        callers = hello.callers,
+        state = state,
+        declared = declared,
+        identifierWindow = identifierWindow,
+        bundleVersion = bundleVersion,
+        heardAt = heardAt,
+        roundTrip = roundTrip,
+    )
+}
+
+private fun Hello.toContact() = PeerContact(vm.name, zone, peers, region)
