--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/RequestRate.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/RequestRate.kt
@@ -7,6 +7,9 @@
 /** Weight of the newest second in the mean, so that the demand follows a peak within about ten seconds. */
 private const val NEWEST_WEIGHT = 0.2
 
+/** Lower bound of the mean, so that single requests to idle VMs do not move seats between them. */
+private const val LEAST_RATE = 10.0
+
 /** Mean number of requests per second that callers hand in. */
 internal class RequestRate(private val clock: DaemonClock) {
     private val count = LongAdder()
@@ -23,6 +26,6 @@
             mean += NEWEST_WEIGHT * (count.sumThenReset() / seconds - mean)
             countedAt = now
         }
-        return mean
+        return mean.coerceAtLeast(LEAST_RATE)
     }
 }
