--- a/daemon/src/main/kotlin/org/anvilshed/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/Main.kt
@@ -79,8 +79,11 @@
     val command = object : NoOpCliktCommand("anvilshed") {}.subcommands(CheckCommand(), RunCommand())
     try {
         command.parse(arguments)
+    } catch (fault: UsageError) {
+        command.echoFormattedHelp(fault)
+        exitProcess(EXIT_USAGE)
     } catch (fault: CliktError) {
         command.echoFormattedHelp(fault)
-        exitProcess(if (fault is UsageError) EXIT_USAGE else fault.statusCode)
+        exitProcess(fault.statusCode)
     }
 }
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/http/ReasonMessages.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/http/ReasonMessages.kt
@@ -4,6 +4,7 @@
 import org.anvilshed.core.UnknownReason
 
 /** Returns the sentence for people that goes with [reason]. */
+@Suppress("CyclomaticComplexMethod") // One branch for each reason, so that the compiler reports a missing one.
 internal fun messageOf(reason: RefusalReason): String = when (reason) {
     RefusalReason.MALFORMED ->
         "a header is malformed: Anvilshed-Deadline-Ms is 1 to the kind's maximum, and a non-idempotent kind needs " +
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/metrics/DaemonMetrics.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/metrics/DaemonMetrics.kt
@@ -14,9 +14,6 @@
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
-/** Upper bounds of the latency histogram in seconds. */
-private val LATENCY_BOUNDS = doubleArrayOf(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
-
 /** Counters of one daemon. No label names a request, caller or address. */
 internal class DaemonMetrics {
     private val registry = PrometheusRegistry()
@@ -34,7 +31,7 @@
         .name("anvilshed_request_seconds")
         .help("Time from the arrival of a caller's request to its end.")
         .classicOnly()
-        .classicUpperBounds(*LATENCY_BOUNDS)
+        .classicUpperBounds(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
         .register(registry)
 
     init {
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/BodySource.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/BodySource.kt
@@ -5,7 +5,7 @@
 import kotlinx.coroutines.channels.Channel
 
 /** The sender of a body went away before the body's end. */
-internal class BodyBrokenException(message: String) : Exception(message)
+internal class BodyBrokenException(message: String, cause: Throwable? = null) : Exception(message, cause)
 
 /** Body that is read piece by piece; nothing is read ahead beyond one piece. */
 internal fun interface BodySource {
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/RequestBody.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/RequestBody.kt
@@ -74,7 +74,7 @@
         } catch (cancelled: CancellationException) {
             currentCoroutineContext().ensureActive()
             // The request's scope ended with its caller, while this attempt goes on.
-            throw BodyBrokenException(cancelled.message ?: "the caller went away")
+            throw BodyBrokenException("the caller went away", cancelled)
         }
         pending = null
         if (piece == null) ended = true else length += piece.length()
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/ResponseSink.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/ResponseSink.kt
@@ -17,8 +17,8 @@
 )
 
 /**
- * Receiver of a response: a caller, a peer or a record. Each call suspends until the receiver is ready for more, so that
- * a slow receiver slows down the sender. A receiver that has gone away accepts and drops everything.
+ * Receiver of a response: a caller, a peer or a record. Each call suspends until the receiver is ready for more, so
+ * that a slow receiver slows down the sender. A receiver that has gone away accepts and drops everything.
  */
 internal interface ResponseSink {
     suspend fun begin(head: ResponseHead)
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/TargetAttempt.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/TargetAttempt.kt
@@ -34,8 +34,8 @@
 )
 
 /**
- * One attempt to run [request] on the target of [place]. Nothing is sent to the target before [gate] was opened, and the
- * slot stays taken until the response has ended or the deadline has passed.
+ * One attempt to run [request] on the target of [place]. Nothing is sent to the target before [gate] was opened, and
+ * the slot stays taken until the response has ended or the deadline has passed.
  *
  * @param seats right to use the target's slot, read again at the last moment.
  */
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/seats/SeatControl.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/seats/SeatControl.kt
@@ -68,7 +68,7 @@
         }
     }
 
-    /** Returns the keys of the ledgers from which [member] is promised not to be removed; see [SeatHolder.promiseTo]. */
+    /** Returns the keys of the ledgers from which [member] will not be removed; see [SeatHolder.promiseTo]. */
     fun promiseTo(member: VmIdentity, now: MonotonicTime): Set<String> =
         loops().filter { it.holder.promiseTo(member, now) }.mapTo(HashSet()) { it.holder.scope.key }
 
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/settings/SettingsReader.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/settings/SettingsReader.kt
@@ -33,13 +33,13 @@
 }
 
 /** Reads the TOML document [text] and reports all of its faults together. */
+@Suppress("TooGenericExceptionCaught") // ktoml reports some malformed lines by exceptions of string functions.
 internal fun readSettings(text: String): SettingsResult {
     val document = try {
         TomlParser(TomlInputConfig()).parseString(text)
     } catch (fault: IllegalArgumentException) {
         return notToml(fault)
     } catch (fault: IndexOutOfBoundsException) {
-        // ktoml reports some malformed lines by the exceptions of the string functions that it calls.
         return notToml(fault)
     } catch (fault: NoSuchElementException) {
         return notToml(fault)
--- a/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/FakeTarget.kt
+++ b/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/FakeTarget.kt
@@ -69,14 +69,14 @@
         val response = request.response().putHeader("Target", name)
         val path = request.path().orEmpty()
         val argument = path.substringAfterLast('/')
+        if (shedNext || path == "/shed" || path == "/draining") {
+            shedNext = false
+            response.setStatusCode(503).putHeader("Not-Run", "true")
+            if (path == "/draining") response.putHeader("Draining", "true")
+            response.end()
+            return
+        }
         when {
-            shedNext || path == "/shed" || path == "/draining" -> {
-                shedNext = false
-                response.setStatusCode(503).putHeader("Not-Run", "true")
-                if (path == "/draining") response.putHeader("Draining", "true")
-                response.end()
-            }
-
             path == "/echo" -> response.putHeader(
                 "Correlation",
                 request.getHeader("Correlation") ?: "",
