--- a/daemon/src/main/kotlin/org/anvilshed/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/Daemon.kt
@@ -23,8 +23,8 @@
     val ports: DaemonPorts get() = parts.ports
 
     /**
-     * Starts the graceful shutdown and returns at once. A second call stops the admission of new requests. May be called
-     * by any thread.
+     * Starts the graceful shutdown and returns at once. A second call stops the admission of new requests. May be
+     * called by any thread.
      */
     fun requestStop() {
         val timeToLive = parts.steering.current?.bundle?.lookupTimeToLive ?: DEFAULT_LOOKUP_TIME_TO_LIVE
--- a/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/FakeTarget.kt
+++ b/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/FakeTarget.kt
@@ -65,15 +65,19 @@
         if (isAnsweredAtOnce) answer(request, Buffer.buffer()) else request.body().onSuccess { answer(request, it) }
     }
 
+    private fun shed(request: HttpServerRequest) {
+        shedNext = false
+        val response = request.response().setStatusCode(503).putHeader("Not-Run", "true")
+        if (request.path() == "/draining") response.putHeader("Draining", "true")
+        response.end()
+    }
+
     private fun answer(request: HttpServerRequest, body: Buffer) {
         val response = request.response().putHeader("Target", name)
         val path = request.path().orEmpty()
         val argument = path.substringAfterLast('/')
-        if (shedNext || path == "/shed" || path == "/draining") {
-            shedNext = false
-            response.setStatusCode(503).putHeader("Not-Run", "true")
-            if (path == "/draining") response.putHeader("Draining", "true")
-            response.end()
+        if (shedNext || path in setOf("/shed", "/draining")) {
+            shed(request)
             return
         }
         when {
