--- a/benchmark/src/main/kotlin/org/anvilshed/benchmark/LoadPlan.kt
+++ b/benchmark/src/main/kotlin/org/anvilshed/benchmark/LoadPlan.kt
@@ -3,8 +3,8 @@
 import org.anvilshed.standins.SampleDeployment
 import kotlin.time.Duration
 
-// Service times with which seven daemons, the targets and the load on one machine fill slots before processors: at 10 ms
-// the slots hold 11,200 requests/s, and half of that rate ended in connection timeouts of the load generator.
+// With these service times the slots are full before the processors of one machine that runs seven daemons, the targets
+// and the load. At 10 ms the slots allow 11,200 requests/s, and half of that ended in connection timeouts.
 private const val MORNING_WORK_MS = 60
 private const val EVENING_READ_MS = 80
 private const val EVENING_WRITE_MS = 160
@@ -64,12 +64,10 @@
             idempotent = kind.idempotent,
             worth = kind.worth,
             share = weights[index] / weights.sum(),
-            workMs = if (isMorning) {
-                10
-            } else if (kind.idempotent) {
-                20
-            } else {
-                40
+            workMs = when {
+                isMorning -> MORNING_WORK_MS
+                kind.idempotent -> EVENING_READ_MS
+                else -> EVENING_WRITE_MS
             },
             requestBytes = if (kind.idempotent) 0 else 2_000,
             responseBytes = if (isMorning) 1_000 else 20_000,
