--- a/core/src/main/kotlin/org/anvilshed/core/Incarnation.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/Incarnation.kt
@@ -18,7 +18,7 @@
 
 /** Returns the incarnation written as 16 lower-case hexadecimal digits in [text], or `null` if [text] has another form. */
 public fun parseIncarnationOrNull(text: String): Incarnation? = text
-    .takeIf { it.length == HEXADECIMAL_DIGITS }
+    .takeIf { it.length == HEXADECIMAL_DIGITS && it.all { digit -> digit in '0'..'9' || digit in 'a'..'f' } }
     ?.toULongOrNull(HEXADECIMAL_RADIX)
     ?.let { Incarnation(it.toLong()) }
 
@@ -28,4 +28,6 @@
  * @throws IllegalArgumentException if [text] does not have 16 hexadecimal digits; see [parseIncarnationOrNull].
  */
 public fun parseIncarnation(text: String): Incarnation =
-    requireNotNull(parseIncarnationOrNull(text)) { "'$text' is not an incarnation: expected 16 lower-case hexadecimal digits" }
+    requireNotNull(parseIncarnationOrNull(text)) {
+        "'$text' is not an incarnation: expected 16 lower-case hexadecimal digits"
+    }
