--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/TargetAttempt.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/TargetAttempt.kt
@@ -86,6 +86,8 @@
             return if (denied == RefusalReason.NO_TARGET) AttemptResult.NotSent(denied) else notRun(denied)
         }
         outgoing = connected
+        // The response fails with the request; without a handler Vert.x would log each lost connection as an error.
+        connected.exceptionHandler { }
         val response = receive(connected)
         return if (request.body.knownLength != null) {
             upload(connected)
