--- a/benchmark/src/main/kotlin/org/anvilshed/benchmark/EntryDirectory.kt
+++ b/benchmark/src/main/kotlin/org/anvilshed/benchmark/EntryDirectory.kt
@@ -26,12 +26,16 @@
     private val entries = ConcurrentHashMap<String, Entry>()
     private var timer: Long? = null
 
+    @Volatile
+    private var isStopped = false
+
     fun start() {
         refresh()
         timer = vertx.setPeriodic(REFRESH_MS) { refresh() }
     }
 
     fun stop() {
+        isStopped = true
         timer?.let(vertx::cancelTimer)
     }
 
@@ -42,6 +46,8 @@
     }
 
     private fun refresh() {
+        // A tick that is already queued may run after the client was closed.
+        if (isStopped) return
         for (origin in origins) {
             val sentAt = System.nanoTime()
             client.getAbs("$origin/v1/entry").timeout(ANSWER_LIMIT_MS).send().onSuccess { response ->
