Keep a target's slot until the target has ended its work

Deadline-Ms was also computed before the connection existed, which prolonged the deadline at the target. Change: after a passed deadline the connection stays open until the target ends by its own deadline; only that, or 5% drift plus 1 s, frees the slot. Deadline-Ms is set right before the send.

--- a/core/src/main/kotlin/org/anvilshed/core/Incarnation.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/Incarnation.kt
@@ -16,7 +16,7 @@
     override fun toString(): String = value.toULong().toString(HEXADECIMAL_RADIX).padStart(HEXADECIMAL_DIGITS, '0')
 }
 
-/** Returns the incarnation written as 16 lower-case hexadecimal digits in [text], or `null` if [text] has another form. */
+/** Returns the incarnation written as 16 lower-case hexadecimal digits in [text], or `null` for any other text. */
 public fun parseIncarnationOrNull(text: String): Incarnation? = text
     .takeIf { it.length == HEXADECIMAL_DIGITS && it.all { digit -> digit in '0'..'9' || digit in 'a'..'f' } }
     ?.toULongOrNull(HEXADECIMAL_RADIX)
@@ -27,7 +27,6 @@
  *
  * @throws IllegalArgumentException if [text] does not have 16 hexadecimal digits; see [parseIncarnationOrNull].
  */
-public fun parseIncarnation(text: String): Incarnation =
-    requireNotNull(parseIncarnationOrNull(text)) {
-        "'$text' is not an incarnation: expected 16 lower-case hexadecimal digits"
-    }
+public fun parseIncarnation(text: String): Incarnation = requireNotNull(parseIncarnationOrNull(text)) {
+    "'$text' is not an incarnation: expected 16 lower-case hexadecimal digits"
+}
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/RequestPlane.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/RequestPlane.kt
@@ -28,7 +28,7 @@
     workers: CoroutineScope,
     contexts: List<Context>,
 ) {
-    private val access = TargetAccess(client, shared.clock) { request, duration ->
+    private val access = TargetAccess(client, shared.clock, contexts.first().owner()) { request, duration ->
         shared.runtimes.getValue(request.service.name).queue.recordServed(duration)
     }
     private val dispatcher =
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/BodySource.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/BodySource.kt
@@ -54,8 +54,22 @@
     }
 
     /** Drops the rest of the body. */
-    fun discard() {
-        if (ended) return
+    fun discard(): Unit = discard { }
+
+    /** Drops the rest of the body and reports once whether it was complete. */
+    fun discard(onEnd: (isWhole: Boolean) -> Unit) {
+        if (ended || failure != null) {
+            onEnd(failure == null)
+            return
+        }
+        stream.exceptionHandler {
+            if (failure == null && !ended) onEnd(false)
+            failure = failure ?: it
+        }
+        stream.endHandler {
+            ended = true
+            if (failure == null) onEnd(true)
+        }
         stream.handler { }
         stream.resume()
     }
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/TargetAttempt.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/TargetAttempt.kt
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future
 import io.vertx.core.MultiMap
+import io.vertx.core.Vertx
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpMethod
@@ -23,15 +24,34 @@
 import org.anvilshed.daemon.remaining
 import org.anvilshed.daemon.toTimerMilliseconds
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 private const val BUSY_STATUS = 503
 
+/** Largest relative difference between the clocks of a target and of this VM. */
+private const val TARGET_CLOCK_DRIFT = 0.05
+
+/** Longest time between sending a request and its arrival at a target of the same region; covers pauses of processes. */
+private val TARGET_DELAY = 1.seconds
+
 /** What an attempt at a target needs apart from the request. */
 internal class TargetAccess(
     val client: HttpClient,
     val clock: DaemonClock,
+    private val vertx: Vertx,
     val recordServed: (ServiceRequest, Duration) -> Unit,
-)
+) {
+    /** Runs [action] at [time] unless the returned timer is cancelled before. */
+    fun resetAt(time: MonotonicTime, action: () -> Unit): CancellableTimer {
+        val identifier = vertx.setTimer(clock.remaining(time).toTimerMilliseconds()) { action() }
+        return CancellableTimer { vertx.cancelTimer(identifier) }
+    }
+}
+
+/** A timer that has not fired yet, or has; cancelling it later has no effect. */
+internal fun interface CancellableTimer {
+    fun cancel()
+}
 
 /**
  * One attempt to run [request] on the target of [place]. Nothing is sent to the target before [gate] was opened, and
@@ -52,6 +72,9 @@
     private val clock = access.clock
     private val target = place.state
     private var outgoing: HttpClientRequest? = null
+    private var response: Future<Answer>? = null
+    private var dispatchedAt: MonotonicTime? = null
+    private var isOverdue = false
     private var uploaded = false
     private var begun = false
     private var complete = false
@@ -86,9 +109,12 @@
             return if (denied == RefusalReason.NO_TARGET) AttemptResult.NotSent(denied) else notRun(denied)
         }
         outgoing = connected
+        dispatchedAt = clock.now()
+        // Set here, since the time for the connection must not prolong the deadline at the target.
+        connected.putHeader("Deadline-Ms", remainingForTarget().toTimerMilliseconds().toString())
         // The response fails with the request; without a handler Vert.x would log each lost connection as an error.
         connected.exceptionHandler { }
-        val response = receive(connected)
+        val response = receive(connected).also { response = it }
         return if (request.body.knownLength != null) {
             upload(connected)
             answer(response, upload = null)
@@ -118,10 +144,8 @@
     }
 
     private fun options(): RequestOptions {
-        val remaining = minOf(clock.remaining(request.deadline), seats().longestDeadline)
         val headers = MultiMap.caseInsensitiveMultiMap()
         request.headers.forEach { headers.add(it.name, it.value) }
-        headers.set("Deadline-Ms", remaining.toTimerMilliseconds().toString())
         request.identifier?.let { headers.set("Request-Id", it.toString()) }
         return RequestOptions()
             .setMethod(HttpMethod.valueOf(request.method))
@@ -132,6 +156,8 @@
             .setHeaders(headers)
     }
 
+    private fun remainingForTarget(): Duration = minOf(clock.remaining(request.deadline), seats().longestDeadline)
+
     private fun receive(connected: HttpClientRequest): Future<Answer> = connected.response().map { response ->
         response.pause()
         Answer(response.statusCode(), response.headers(), StreamBody(response))
@@ -214,6 +240,7 @@
 
     private fun timedOut(): AttemptResult {
         if (outgoing == null) return notRun(RefusalReason.DEADLINE_PASSED)
+        isOverdue = uploaded && !begun
         target.recordFailure(clock.now())
         return if (begun) AttemptResult.Ended(ServeResult.Broken) else unknown(UnknownReason.DEADLINE_PASSED)
     }
@@ -221,7 +248,35 @@
     private fun release() {
         if (released) return
         released = true
-        if (outgoing == null || complete) place.complete() else place.abandon(request.deadline)
-        if (!complete || !uploaded) outgoing?.reset()
+        val connected = outgoing
+        val pending = response
+        when {
+            connected == null || complete -> place.complete()
+            isOverdue && pending != null -> awaitEndAtTarget(connected, pending)
+            else -> place.abandon(endAtTarget())
+        }
+        if (!isOverdue && (!complete || !uploaded)) connected?.reset()
+    }
+
+    /**
+     * Keeps slot and connection until the target has ended its work by its own clock. Closing the connection at the
+     * deadline would free the slot while the target still counts the request, since it may see the next one first.
+     */
+    private fun awaitEndAtTarget(connected: HttpClientRequest, pending: Future<Answer>) {
+        val timer = access.resetAt(endAtTarget()) { connected.reset() }
+        val onEnd = { hasEnded: Boolean ->
+            timer.cancel()
+            if (hasEnded) place.complete() else place.abandon(endAtTarget())
+        }
+        pending.onComplete { result ->
+            val body = result.result()?.body
+            if (body == null) onEnd(false) else body.discard(onEnd)
+        }
+    }
+
+    /** Latest time at which the target works on the request, if its clock is slow and the request was delayed. */
+    private fun endAtTarget(): MonotonicTime {
+        val sent = dispatchedAt ?: return request.deadline
+        return request.deadline + (request.deadline - sent) * TARGET_CLOCK_DRIFT + TARGET_DELAY
     }
 }
