--- a/wire/src/test/kotlin/org/anvilshed/wire/platform/BundleWorld.kt
+++ b/wire/src/test/kotlin/org/anvilshed/wire/platform/BundleWorld.kt
@@ -233,7 +233,8 @@
     private fun checkAccepted(accepted: VerifiedBundle, before: VerifiedBundle?) {
         count(accepted)
         val signed = accepted.signed
-        check(signedByTwo.getOrPut(signed) { isSignedByTwo(signed) }) { "version ${accepted.version} came into force without two valid signatures" }
+        val isValid = signedByTwo.getOrPut(signed) { isSignedByTwo(signed) }
+        check(isValid) { "version ${accepted.version} came into force without two valid signatures" }
         val revoked = before?.bundle?.revokedKeys.orEmpty()
         check(signed.author !in revoked && signed.signOff?.operator !in revoked) {
             "version ${accepted.version} came into force with a key that version ${before?.version} revokes"
