--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/TargetAttempt.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/TargetAttempt.kt
@@ -31,7 +31,7 @@
 /** Largest relative difference between the clocks of a target and of this VM. */
 private const val TARGET_CLOCK_DRIFT = 0.05
 
-/** Longest time between sending a request and its arrival at a target of the same region; covers pauses of processes. */
+/** Longest delay of a request on its way to a target of the same region; covers pauses of processes. */
 private val TARGET_DELAY = 1.seconds
 
 /** What an attempt at a target needs apart from the request. */
