--- a/benchmark/src/main/kotlin/org/anvilshed/benchmark/micro/SlopeBenchmark.kt
+++ b/benchmark/src/main/kotlin/org/anvilshed/benchmark/micro/SlopeBenchmark.kt
@@ -9,6 +9,8 @@
 import org.anvilshed.core.VmName
 import org.anvilshed.core.ZoneName
 import org.anvilshed.core.bundle.BundleDigest
+import org.anvilshed.core.bundle.BundleParseResult
+import org.anvilshed.core.bundle.parseBundle
 import org.anvilshed.core.execution.Admission
 import org.anvilshed.core.execution.ExecutionLimits
 import org.anvilshed.core.execution.ExecutionRecords
@@ -50,6 +52,8 @@
 private const val WARM_UP_SIZE = 1_000
 private const val ZONES = 39
 private const val NANOS_PER_MICRO = 1e3
+private const val NANOS_PER_MILLI = 1e6
+private const val BUNDLE_ROUNDS = 10
 private const val BYTES_PER_MEGABYTE = 1e6
 private const val LEDGER_ROUNDS = 500
 private const val VIEW_ROUNDS = 100
@@ -188,6 +192,30 @@
     )
 }
 
+/** Size of a bundle document and the cost of parsing and checking it by its number of targets. */
+private fun bundleRow(targets: Int): List<Double> {
+    val document = bundleDocument(targets)
+    check(parseBundle(document) is BundleParseResult.Valid) { "the document has faults: ${parseBundle(document)}" }
+    val cost = costOf(BUNDLE_ROUNDS) { parseBundle(document) }
+    return listOf(document.length.toDouble(), cost.nanoseconds / NANOS_PER_MILLI)
+}
+
+private fun bundleDocument(targets: Int): String = buildString {
+    append("format = 1\nversion = 1\ncomment = \"slope\"\nlookup_ttl_ms = 2000\nseats = 64\n")
+    append("isolation_limit_ms = 7200000\nrevoked_keys = []\n")
+    append("[[regions]]\nname = \"nbo\"\nrequests_per_second = 5000.0\n")
+    append("[[zones]]\nname = \"nbo-a\"\nregion = \"nbo\"\n")
+    append("[[services]]\nname = \"booking\"\nmaximum_body_bytes = 1048576\n")
+    append("shift_cap = 0.3\nshift_window_ms = 10000\nshift_ramp = 0.1\n")
+    append("[[kinds]]\nservice = \"booking\"\nname = \"read\"\nidempotent = true\nworth = 1.0\n")
+    append("deadline_ms = 1000\nmaximum_deadline_ms = 5000\n")
+    repeat(targets) { index ->
+        append("[[targets]]\nservice = \"booking\"\nname = \"target-$index\"\nzone = \"nbo-a\"\n")
+        append("address = \"10.0.${index / 250}.${index % 250}:9000\"\n")
+        append("slots = 4\nconnections = 330\nstate = \"active\"\n")
+    }
+}
+
 private class SlopeTable(val columns: List<String>, val row: (Int) -> List<Double>)
 
 private val tables = mapOf(
@@ -198,6 +226,7 @@
     "records" to SlopeTable(listOf("records", "heap bytes each", "us each"), ::recordsRow),
     "seat-ledger" to SlopeTable(listOf("members", "JSON bytes", "codec us", "allocation us"), ::seatLedgerRow),
     "membership" to SlopeTable(listOf("VMs", "heap bytes each", "neighbors us", "snapshot us"), ::membershipRow),
+    "bundle" to SlopeTable(listOf("targets", "bytes", "parse ms"), ::bundleRow),
     "heartbeat" to SlopeTable(listOf("peers told", "bytes", "codec us"), ::heartbeatRow),
 )
 
