--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/Dispatcher.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/Dispatcher.kt
@@ -109,14 +109,10 @@
 
         private fun refusalUnlessRetried(attempt: AttemptResult.NotRun): ServeResult? {
             if (request.isForwarded) return attempt.refusal
-            return refusalOfRetry(attempt.retry)?.let { reason ->
-                if (reason ==
-                    RefusalReason.RETRY_BUDGET
-                ) {
-                    ServeResult.NotRun(reason, attempt.refusal.retryAfter)
-                } else {
-                    attempt.refusal
-                }
+            return when (refusalOfRetry(attempt.retry)) {
+                null -> null
+                RefusalReason.RETRY_BUDGET -> ServeResult.NotRun(RefusalReason.RETRY_BUDGET, attempt.refusal.retryAfter)
+                else -> attempt.refusal
             }
         }
 
