Prefer entry VMs of the own region in lookups without a client block

Cause: bin/run-local showed a lookup at nbo-a-1 that listed both VMs of its zone and then msa-b-1 instead of nbo-b-1: without a client no region was passed on. Change: the answering VM's own region is the default; run-local (and its test) requires it.

--- a/daemon/src/main/kotlin/org/anvilshed/daemon/RequestPlane.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/RequestPlane.kt
@@ -50,14 +50,7 @@
     /** Requests of callers. */
     val routes = CallerRoutes(
         ServiceRoute(shared, service, workers),
-        EntryRoute(
-            shared.local.identity,
-            shared.local.zone,
-            shared.steering,
-            shared.drain,
-            shared.clock,
-            shared.metrics,
-        ),
+        EntryRoute(shared.local, shared.steering, shared.drain, shared.clock, shared.metrics),
     )
 
     /** Requests of peers. */
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/http/EntryRoute.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/http/EntryRoute.kt
@@ -6,14 +6,13 @@
 import io.vertx.ext.web.RoutingContext
 import org.anvilshed.core.RefusalReason
 import org.anvilshed.core.ServiceName
-import org.anvilshed.core.VmIdentity
-import org.anvilshed.core.ZoneName
 import org.anvilshed.core.isValidName
 import org.anvilshed.core.lifecycle.DrainState
 import org.anvilshed.core.lookup.EntryCandidate
 import org.anvilshed.core.lookup.parseIpAddressOrNull
 import org.anvilshed.daemon.DaemonClock
 import org.anvilshed.daemon.metrics.DaemonMetrics
+import org.anvilshed.daemon.steering.LocalVm
 import org.anvilshed.daemon.steering.Steering
 import org.anvilshed.daemon.steering.SteeringReference
 
@@ -21,8 +20,7 @@
 
 /** Answers `GET /v1/entry` from the present snapshot. */
 internal class EntryRoute(
-    private val self: VmIdentity,
-    private val ownZone: ZoneName,
+    private val local: LocalVm,
     private val steering: SteeringReference,
     private val drain: DrainState,
     private val clock: DaemonClock,
@@ -52,10 +50,11 @@
             return refuse(context, refusal ?: (503 to RefusalReason.NO_BUNDLE))
         }
         val callerKey = address?.key ?: context.request().remoteAddress()?.host().hashCode().toLong()
+        // Without a client block the caller is taken to be near this VM.
         val region = address?.let(current.clientBlocks::findOrNull)
-        val zone = ownZone.takeIf { region == null }
-        val entries = current.directory.select(callerKey, region, zone, MAXIMUM_ENTRIES + 1)
-            .filter { it.vm != self || !drain.isLeaving }
+        val zone = local.zone.takeIf { region == null }
+        val entries = current.directory.select(callerKey, region ?: local.region, zone, MAXIMUM_ENTRIES + 1)
+            .filter { it.vm != local.identity || !drain.isLeaving }
             .take(MAXIMUM_ENTRIES)
         return answer(context, current, entries)
     }
@@ -65,7 +64,7 @@
 
     private fun answer(context: RoutingContext, current: Steering, entries: List<EntryCandidate>): Future<Void> {
         val timeToLive = current.bundle.lookupTimeToLive
-        if (entries.any { it.vm == self }) drain.recordListed(clock.now(), timeToLive)
+        if (entries.any { it.vm == local.identity }) drain.recordListed(clock.now(), timeToLive)
         metrics.recordLookup()
         val list = JsonArray()
         for (entry in entries) {
--- a/stand-ins/src/main/kotlin/org/anvilshed/standins/RunLocal.kt
+++ b/stand-ins/src/main/kotlin/org/anvilshed/standins/RunLocal.kt
@@ -8,6 +8,9 @@
 import java.net.http.HttpResponse
 import java.util.UUID
 
+private const val LOOKUP_ATTEMPTS = 300
+private const val LOOKUP_INTERVAL_MS = 100L
+
 /**
  * Shows a deployment at work: bundle, lookup, read from another region, booking and the same booking once more.
  *
@@ -39,7 +42,7 @@
         val service = sample.services.first { service -> service.kinds.any { !it.idempotent } }
         val booking = service.kinds.first { !it.idempotent }
         val read = service.kinds.first { it.idempotent }
-        val lookup = deployment.callers(first.name).call("GET", "/v1/entry?service=${service.name}")
+        val lookup = awaitLocalEntries("/v1/entry?service=${service.name}")
         report("lookup at ${first.name}", lookup)
         val path = "/v1/services/${service.name}/jobs/17"
         val near = deployment.callers(first.name).call("GET", path, "", "Anvilshed-Kind", read.name)
@@ -80,6 +83,20 @@
         print("  curl -d '{\"outage\":\"refuse\"}' ${deployment.platformAddress}/control")
     }
 
+    /** Looks up until only entry VMs of the own region are listed, as soon as the first VM has heard them all. */
+    private fun awaitLocalEntries(path: String): HttpResponse<String> {
+        repeat(LOOKUP_ATTEMPTS) {
+            val lookup = deployment.callers(first.name).call("GET", path)
+            val entries = Json.decodeFromString<JsonObject>(lookup.body())["entries"]?.jsonArray.orEmpty()
+            val regions = entries.map { it.jsonObject.getValue("region").jsonPrimitive.content }
+            if (regions.size == sample.vms.count { it.region == first.region } && regions.all { it == first.region }) {
+                return lookup
+            }
+            Thread.sleep(LOOKUP_INTERVAL_MS)
+        }
+        error("lookups at ${first.name} do not prefer the entry VMs of its region")
+    }
+
     private fun book(vm: String, path: String, kind: String, identifier: String): HttpResponse<String> {
         val answer = deployment.callers(vm)
             .call("POST", path, "{}", "Anvilshed-Kind", kind, "Anvilshed-Request-Id", identifier)
