Serve the users' platform with a gateway process of its own

Cause: the daemon speaks its own protocols, and its seat ledger, records and peer forwarding have no use where targets queue and report their own load. Change: core decides routes, placement, queueing and shared limits; the module gateway carries requests over Vert.x, follows the store and exchanges announcements between entry VMs; platform/ translates settings, store objects, headers and endpoints.

--- /dev/null
+++ b/core/src/main/kotlin/org/anvilshed/core/ingress/PartRotation.kt
@@ -0,0 +1,25 @@
+package org.anvilshed.core.ingress
+
+import org.anvilshed.core.ServiceName
+
+/**
+ * Distributes the requests of one route over its parts in the proportions of their weights.
+ *
+ * Smooth weighted round robin: in every run of requests whose length is the sum of the weights, each part gets exactly
+ * its weight, and its requests are spread over the run. Not thread-safe.
+ */
+public class PartRotation(private val parts: List<RoutePart>) {
+    private val totalWeight = parts.sumOf { it.weight }
+    private val credits = IntArray(parts.size)
+
+    /** Returns the service of the next request. */
+    public fun next(): ServiceName {
+        var best = 0
+        for (index in credits.indices) {
+            credits[index] += parts[index].weight
+            if (credits[index] > credits[best]) best = index
+        }
+        credits[best] -= totalWeight
+        return parts[best].service
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/Flight.kt
@@ -0,0 +1,64 @@
+package org.anvilshed.core.placement
+
+import org.anvilshed.core.MonotonicTime
+import kotlin.time.Duration
+
+/**
+ * Request that was sent to a target and has not ended.
+ *
+ * @property expected time that the answer was expected to take.
+ * @property foundFreeSlot whether the target was believed to have a free slot, so that the answer's time is work alone.
+ * @property knownObject whether this VM had sent the request's object to the target before.
+ */
+public class Flight internal constructor(
+    internal val load: TargetLoad,
+    internal val request: PlacementRequest,
+    internal val sentAt: MonotonicTime,
+    internal val expected: Duration,
+    internal val foundFreeSlot: Boolean,
+    internal val knownObject: Boolean,
+) {
+    /** Time that the answer was expected to take at the target. */
+    public val expectedTime: Duration
+        get() = expected
+}
+
+/** How a request ended at a target. */
+public sealed interface FlightEnd {
+    /**
+     * The target answered.
+     *
+     * @property failed whether the answer is a failure of the target.
+     */
+    public data class Answered(
+        public val failed: Boolean,
+        public val report: LoadReport?,
+    ) : FlightEnd
+
+    /** The target said that it did not run the request. */
+    public data class Shed(public val report: LoadReport?) : FlightEnd
+
+    /** No connection could be opened, so nothing was sent. */
+    public data object Unreachable : FlightEnd
+
+    /** The connection broke, or the answer was damaged, late or another request's. */
+    public data object Broken : FlightEnd
+
+    /** Another process has the target's address. */
+    public data object Misdirected : FlightEnd
+
+    /** This VM gave up on the request; says nothing about the target. */
+    public data object Cancelled : FlightEnd
+}
+
+/**
+ * Load that a target reported with an answer.
+ *
+ * @property running requests in its slots.
+ * @property waiting requests in its queue.
+ */
+public data class LoadReport(
+    public val running: Int,
+    public val waiting: Int,
+    public val slots: Int,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/PlacementRequest.kt
@@ -0,0 +1,28 @@
+package org.anvilshed.core.placement
+
+import org.anvilshed.core.MonotonicTime
+import org.anvilshed.core.RegionName
+import org.anvilshed.core.fleet.TargetKey
+import kotlin.time.Duration
+
+/**
+ * Request that asks for a target.
+ *
+ * @property arrivedAt when the caller's request was read.
+ * @property deadline when the caller or the route gives up on it.
+ * @property affinityKey object that the request concerns, if targets work faster on objects that they handled recently.
+ * @property homeRegions regions that may serve it; empty if all may.
+ * @property excluded targets that already got this request.
+ */
+public data class PlacementRequest(
+    public val requestClass: RequestClass,
+    public val arrivedAt: MonotonicTime,
+    public val deadline: MonotonicTime,
+    public val affinityKey: String?,
+    public val homeRegions: Set<RegionName>,
+    public val excluded: Set<TargetKey> = emptySet(),
+) {
+    /** Time after the arrival within which the answer is wanted. */
+    val goal: Duration
+        get() = requestClass.latencyGoal ?: (deadline - arrivedAt)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ShiftBand.kt
@@ -0,0 +1,64 @@
+package org.anvilshed.core.placement
+
+import org.anvilshed.core.MonotonicTime
+import org.anvilshed.core.RegionName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Length of the windows between which the share of moved requests is compared. */
+public val SHIFT_WINDOW: Duration = 2.seconds
+
+/**
+ * Keeps the share of this VM's requests that run in another region within a band around the share of a window ago.
+ *
+ * If every VM keeps its own requests within the band, so does the sum of a region. Shares are judged by the requests
+ * that were sent, so refused ones do not count. Not thread-safe.
+ *
+ * @param maximumShift largest change of the share between two successive windows.
+ */
+public class ShiftBand(private val maximumShift: Double) {
+    private val counters = HashMap<RegionName, WindowCounter>()
+    private val total = WindowCounter(SHIFT_WINDOW * 2)
+
+    /** Records that a request was sent to a target in [region]. */
+    public fun recordSent(region: RegionName, now: MonotonicTime) {
+        total.add(now)
+        counters.getOrPut(region) { WindowCounter(SHIFT_WINDOW * 2) }.add(now)
+    }
+
+    /** Returns whether one more request sent to the remote [region] keeps its share within the band. */
+    public fun allows(region: RegionName, now: MonotonicTime): Boolean {
+        val recentTotal = total.countBetween(now, 0, HALF - 1)
+        val recent = counters[region]?.countBetween(now, 0, HALF - 1) ?: 0
+        return (recent + 1).toDouble() / (recentTotal + 1) <= formerShare(region, now) + maximumShift * SAFETY_SHARE
+    }
+
+    /** Returns whether the share of the remote [region] fell so far that the next request should be sent there. */
+    public fun demands(region: RegionName, now: MonotonicTime): Boolean {
+        val recentTotal = total.countBetween(now, 0, HALF - 1)
+        if (recentTotal < SMALLEST_SAMPLE) return false
+        val recent = counters[region]?.countBetween(now, 0, HALF - 1) ?: 0
+        return recent.toDouble() / recentTotal < formerShare(region, now) - maximumShift * SAFETY_SHARE
+    }
+
+    /** Regions to which requests were sent within the last two windows. */
+    public val regions: Set<RegionName>
+        get() = counters.keys
+
+    private fun formerShare(region: RegionName, now: MonotonicTime): Double {
+        val formerTotal = total.countBetween(now, HALF, 2 * HALF - 1)
+        if (formerTotal < SMALLEST_SAMPLE) return 0.0
+        return (counters[region]?.countBetween(now, HALF, 2 * HALF - 1) ?: 0).toDouble() / formerTotal
+    }
+
+    private companion object {
+        /** Buckets of one of the two windows that are compared. */
+        const val HALF = 5
+
+        /** Smaller samples say nothing about a share. */
+        const val SMALLEST_SAMPLE = 20
+
+        /** The rule is judged on the sum of a region with windows at any offset. */
+        const val SAFETY_SHARE = 0.6
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/TargetLoad.kt
@@ -0,0 +1,153 @@
+package org.anvilshed.core.placement
+
+import org.anvilshed.core.MonotonicTime
+import org.anvilshed.core.fleet.FleetTarget
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What this VM knows of the load and speed of one target. Not thread-safe. */
+internal class TargetLoad(var target: FleetTarget, createdAt: MonotonicTime) {
+    private val flights = ArrayList<Flight>()
+    private val recentObjects = object : LinkedHashMap<String, Unit>(REMEMBERED_OBJECTS, LOAD_FACTOR, true) {
+        override fun removeEldestEntry(eldest: Map.Entry<String, Unit>): Boolean = size > REMEMBERED_OBJECTS
+    }
+    private var reportedOthers = 0
+    private var reportedAt = createdAt - REPORT_LIFETIME
+    private var fullUntil = createdAt
+    private var consecutiveFailures = 0
+    private var suspension = FIRST_SUSPENSION
+    private var suspendedUntil = createdAt
+
+    val cold = ColdAllowance()
+
+    /** Requests in flight that other VMs announced. */
+    var announcedOthers = 0
+
+    /** Observed work relative to the expected work; above 1 for a slow target. */
+    var speedFactor = 1.0
+        private set
+
+    /** Share of recent requests that the target failed or refused while it had room. */
+    var failureShare = 0.0
+        private set
+
+    var lastSentAt: MonotonicTime = createdAt - EXPLORATION_PERIOD
+        private set
+
+    val inFlight: Int
+        get() = flights.size
+
+    /** Requests that are believed to be at the target, from the own count, the other VMs' and the target's reports. */
+    fun load(now: MonotonicTime): Int {
+        if (now < fullUntil) return maxOf(target.slots, flights.size)
+        val reported = if (now - reportedAt < REPORT_LIFETIME) reportedOthers else 0
+        return flights.size + maxOf(announcedOthers, reported)
+    }
+
+    fun isCold(now: MonotonicTime): Boolean = now < target.coldUntil
+
+    fun isSuspended(now: MonotonicTime): Boolean = now < suspendedUntil
+
+    /** Factor by which work takes longer here, also judged by requests that should have been answered by now. */
+    fun slowness(now: MonotonicTime): Double {
+        var factor = speedFactor
+        for (flight in flights) {
+            val overdue = (now - flight.sentAt) / flight.expected.coerceAtLeast(1.milliseconds)
+            if (overdue > OVERDUE_FACTOR && overdue > factor) factor = overdue
+        }
+        return factor
+    }
+
+    /** Whether the target should get a request to learn how it does now. */
+    fun needsExploration(now: MonotonicTime): Boolean =
+        flights.isEmpty() && now - lastSentAt >= EXPLORATION_PERIOD * slowness(now).coerceIn(1.0, SLOWEST_FACTOR)
+
+    fun knows(affinityKey: String?): Boolean = affinityKey != null && recentObjects.containsKey(affinityKey)
+
+    fun recordSent(flight: Flight, now: MonotonicTime) {
+        flights.add(flight)
+        lastSentAt = now
+    }
+
+    fun recordEnd(flight: Flight, end: FlightEnd, work: Duration?, now: MonotonicTime) {
+        flights.remove(flight)
+        when (end) {
+            is FlightEnd.Answered -> {
+                flight.request.affinityKey?.let { recentObjects[it] = Unit }
+                end.report?.let { recordReport(it, now) }
+                recordFailure(end.failed)
+                if (end.failed) countFailure(now) else clearFailures()
+                if (work != null) learnSpeed(work / flight.expected.coerceAtLeast(1.milliseconds))
+            }
+
+            is FlightEnd.Shed -> {
+                end.report?.let { recordReport(it, now) }
+                val full = end.report == null || end.report.running >= end.report.slots
+                if (full) fullUntil = now + FULL_PERIOD else recordFailure(true)
+            }
+
+            FlightEnd.Unreachable, FlightEnd.Misdirected -> suspend(now)
+
+            FlightEnd.Broken -> {
+                recordFailure(true)
+                countFailure(now)
+            }
+
+            FlightEnd.Cancelled -> Unit
+        }
+    }
+
+    private fun recordReport(report: LoadReport, now: MonotonicTime) {
+        reportedOthers = (report.running + report.waiting - flights.size).coerceAtLeast(0)
+        reportedAt = now
+    }
+
+    private fun recordFailure(failed: Boolean) {
+        failureShare += FAILURE_WEIGHT * ((if (failed) 1.0 else 0.0) - failureShare)
+    }
+
+    private fun learnSpeed(sample: Double) {
+        speedFactor += SPEED_WEIGHT * (sample.coerceIn(FASTEST_FACTOR, SLOWEST_FACTOR) - speedFactor)
+    }
+
+    private fun countFailure(now: MonotonicTime) {
+        if (++consecutiveFailures >= FAILURES_TO_SUSPEND) suspend(now)
+    }
+
+    private fun clearFailures() {
+        consecutiveFailures = 0
+        suspension = FIRST_SUSPENSION
+    }
+
+    private fun suspend(now: MonotonicTime) {
+        suspendedUntil = now + suspension
+        suspension = (suspension * 2).coerceAtMost(LONGEST_SUSPENSION)
+        consecutiveFailures = 0
+    }
+
+    private companion object {
+        const val REMEMBERED_OBJECTS = 256
+        const val LOAD_FACTOR = 0.75f
+
+        /** A report is of no use once most of the requests it counted have ended. */
+        val REPORT_LIFETIME = 250.milliseconds
+
+        /** A full target is asked again after about the time in which one of its slots becomes free. */
+        val FULL_PERIOD = 50.milliseconds
+
+        /** Requests this many times over their expected time count against the target's speed. */
+        const val OVERDUE_FACTOR = 2.0
+        const val FASTEST_FACTOR = 0.3
+        const val SLOWEST_FACTOR = 20.0
+        const val SPEED_WEIGHT = 0.2
+        const val FAILURE_WEIGHT = 0.1
+
+        const val FAILURES_TO_SUSPEND = 3
+        val FIRST_SUSPENSION = 500.milliseconds
+        val LONGEST_SUSPENSION = 4.seconds
+
+        /** An idle target gets a request after this time, so that new and recovered targets are used. */
+        val EXPLORATION_PERIOD = 1.seconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/RequestHeaders.kt
@@ -0,0 +1,22 @@
+package org.anvilshed.gateway
+
+/**
+ * Names of the headers that callers, entry VMs and targets exchange.
+ *
+ * @property requestId identifier of one attempt of a caller; targets repeat it in their answers.
+ * @property deadlineMillis milliseconds that the caller still waits.
+ * @property affinityKey object that a request concerns.
+ * @property stamp proof of a target that it made the answer.
+ * @property notExecuted set by a target that did not run the request.
+ * @property expectedTarget name of the target for which a request is meant.
+ * @property targetLoad running requests, waiting requests and slots of a target, separated by commas.
+ */
+public data class RequestHeaders(
+    public val requestId: String,
+    public val deadlineMillis: String,
+    public val affinityKey: String,
+    public val stamp: String,
+    public val notExecuted: String,
+    public val expectedTarget: String,
+    public val targetLoad: String,
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerSnapshots.kt
@@ -0,0 +1,82 @@
+package org.anvilshed.gateway.peers
+
+import io.vertx.core.Vertx
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClientAgent
+import io.vertx.core.http.HttpClientOptions
+import io.vertx.core.http.HttpMethod
+import io.vertx.core.http.HttpServerRequest
+import io.vertx.core.http.RequestOptions
+import io.vertx.core.json.DecodeException
+import io.vertx.core.json.JsonArray
+import io.vertx.core.json.JsonObject
+import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.withTimeoutOrNull
+import org.anvilshed.core.SocketAddress
+import org.anvilshed.gateway.store.StoreFeed
+import org.anvilshed.gateway.store.StoreKind
+import org.anvilshed.gateway.store.StoreListing
+import org.anvilshed.gateway.store.StoreObject
+import java.io.IOException
+import kotlin.time.Duration.Companion.seconds
+
+/** Hands this VM's copies of store objects to peers, and asks peers for theirs. */
+internal class PeerSnapshots(vertx: Vertx, private val feeds: Map<StoreKind, StoreFeed>) {
+    private val client: HttpClientAgent = vertx.createHttpClient(
+        HttpClientOptions().setConnectTimeout(CALL_TIMEOUT.inWholeMilliseconds.toInt()).setKeepAlive(true),
+    )
+
+    /** Answers `GET /v1/objects/KIND` with this VM's copy of the kind. */
+    fun handle(request: HttpServerRequest) {
+        val kind = StoreKind.entries.firstOrNull { request.path() == pathOf(it) }
+        val feed = feeds[kind]?.takeIf { it.isKnown }
+        if (feed == null) {
+            request.response().setStatusCode(NOT_FOUND).end()
+        } else {
+            request.response().putHeader("Content-Type", "application/json").end(encode(feed.snapshot()))
+        }
+    }
+
+    /** Returns the copy of [kind] of the VM at [control], or `null` if there is no usable answer in time. */
+    suspend fun fetchOrNull(control: SocketAddress, kind: StoreKind): StoreListing? = try {
+        withTimeoutOrNull(CALL_TIMEOUT) {
+            val options = RequestOptions().setMethod(HttpMethod.GET).setHost(control.host).setPort(control.port)
+                .setURI(pathOf(kind))
+            val response = client.request(options).coAwait().send().coAwait()
+            if (response.statusCode() == OK) decode(response.body().coAwait()) else null
+        }
+    } catch (_: IOException) {
+        null
+    } catch (_: DecodeException) {
+        null
+    } catch (_: ClassCastException) {
+        null
+    }
+
+    private fun pathOf(kind: StoreKind): String = "/v1/objects/${kind.name.lowercase()}"
+
+    private fun encode(listing: StoreListing): Buffer {
+        val objects = JsonArray()
+        for (item in listing.objects) {
+            objects.add(JsonObject().put("name", item.name).put("revision", item.revision).put("content", item.content))
+        }
+        return JsonObject().put("revision", listing.revision).put("objects", objects).toBuffer()
+    }
+
+    private fun decode(body: Buffer): StoreListing {
+        val json = body.toJsonObject()
+        val objects = json.getJsonArray("objects").map { item ->
+            val entry = item as JsonObject
+            StoreObject(entry.getString("name"), entry.getLong("revision"), entry.getJsonObject("content"))
+        }
+        return StoreListing(objects, json.getLong("revision"))
+    }
+
+    private companion object {
+        const val OK = 200
+        const val NOT_FOUND = 404
+
+        /** A peer answers from memory; a longer silence means that another peer should be asked. */
+        val CALL_TIMEOUT = 1.seconds
+    }
+}
