Refuse request heads with length and chunks, close connections that stall or idle

Cause: Netty's decoder drops the length of a request that also has chunks, and nothing bounded the time of a head. Change: a handler before the decoder reads each head; HTTP/2 detection is off, since it passed the first bytes around it.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/CallerConnections.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/CallerConnections.kt
@@ -1,12 +1,13 @@
 package org.anvilshed.gateway
 
 import io.vertx.core.http.HttpConnection
+import io.vertx.core.net.impl.ConnectionBase
 import org.anvilshed.core.MonotonicTime
-import kotlin.time.Duration
+import org.anvilshed.core.ingress.CallerLimits
 
-/** Open connections of callers, to close those that idle too long. Used by the event loop alone. */
+/** Open connections of callers, to close those that idle or stall. Used by the event loop alone. */
 internal class CallerConnections(private val clock: Clock) {
-    private class Usage(var idleSince: MonotonicTime) {
+    private class Usage(var idleSince: MonotonicTime, val guard: RequestHeadGuard) {
         var requests = 0
     }
 
@@ -16,7 +17,9 @@
         get() = usages.size
 
     fun opened(connection: HttpConnection) {
-        usages[connection] = Usage(clock())
+        val guard = RequestHeadGuard(clock)
+        (connection as ConnectionBase).channel().pipeline().addFirst(guard)
+        usages[connection] = Usage(clock(), guard)
         connection.closeHandler { usages.remove(connection) }
     }
 
@@ -28,12 +31,20 @@
         usages[connection]?.let {
             it.requests--
             it.idleSince = clock()
+            it.guard.requestEnded()
         }
     }
 
-    /** Closes the connections that have had no request for [limit]. */
-    fun closeIdle(limit: Duration, now: MonotonicTime) {
-        val idle = usages.filterValues { it.requests == 0 && now - it.idleSince >= limit }.keys.toList()
-        idle.forEach { it.close() }
+    /** Closes the connections that have had no request, or an incomplete head of one, for longer than [limits] allow. */
+    fun closeStalled(limits: CallerLimits, now: MonotonicTime) {
+        val stalled = usages.filterValues { usage ->
+            val headSince = usage.guard.incompleteSince
+            if (headSince != null) {
+                now - headSince >= limits.headerTimeout
+            } else {
+                usage.requests == 0 && now - usage.idleSince >= limits.idleTimeout
+            }
+        }
+        stalled.keys.toList().forEach { it.close() }
     }
 }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -170,6 +170,8 @@
     private fun callerOptions(): HttpServerOptions =
         HttpServerOptions().setMaxHeaderSize(LARGEST_HEADER_BYTES).setMaxInitialLineLength(LARGEST_HEADER_BYTES)
             .setTcpNoDelay(true).setAcceptBacklog(ACCEPT_BACKLOG).setCompressionSupported(false)
+            // The detection of HTTP/2 would hand the first bytes of a connection to the decoder past the head guard.
+            .setHttp2ClearTextEnabled(false)
 
     private fun serveCaller(request: HttpServerRequest) {
         val connection = request.connection()
@@ -205,7 +207,7 @@
         }
         refreshPolicies(now)
         connections.closeUnused(directory.targets.mapTo(HashSet()) { it.key }, now)
-        state.currentOrNull?.let { callerConnections.closeIdle(it.config.callerLimits.idleTimeout, now) }
+        state.currentOrNull?.let { callerConnections.closeStalled(it.config.callerLimits, now) }
         metrics.setSizes(lanes.values.sumOf { it.pool.queueLength }, membership.live(now).size + 1)
     }
 
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRequestTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRequestTest.kt
@@ -169,4 +169,25 @@
                 bed.call("/once/", method = "POST", body = "x", deadline = 300).status shouldBe 504
             }
         }
+
+        test("a connection whose request head never ends is closed, and so is one that idles") {
+            withTargets(respond) { bed, _ ->
+                bed.connect().use { socket ->
+                    ScriptedTarget.write(socket, "GET /safe/ HTT")
+                    socket.getInputStream().read() shouldBe -1
+                }
+                bed.connect().use { it.getInputStream().read() shouldBe -1 }
+            }
+        }
+
+        test("a kept connection serves one request after the other") {
+            withTargets(respond) { bed, _ ->
+                bed.connect().use { socket ->
+                    repeat(3) {
+                        ScriptedTarget.write(socket, "GET /safe/ HTTP/1.1\r\nHost: test.example\r\nX-Id: id-$it\r\n\r\n")
+                        bed.readAnswer(socket).headers["x-id"] shouldBe "id-$it"
+                    }
+                }
+            }
+        }
     })
