--- a/core/src/main/kotlin/org/anvilshed/core/placement/Flight.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/Flight.kt
@@ -9,6 +9,7 @@
  * @property expected time that the answer was expected to take.
  * @property foundFreeSlot whether the target was believed to have a free slot, so that the answer's time is work alone.
  * @property knownObject whether this VM had sent the request's object to the target before.
+ * @property loadFound requests that were believed to be at the target.
  */
 public class Flight internal constructor(
     internal val load: TargetLoad,
@@ -17,10 +18,15 @@
     internal val expected: Duration,
     internal val foundFreeSlot: Boolean,
     internal val knownObject: Boolean,
+    internal val loadFound: Int,
 ) {
     /** Time that the answer was expected to take at the target. */
     public val expectedTime: Duration
         get() = expected
+
+    /** What decided the choice of the target, for the log. */
+    public val reason: String
+        get() = "load=$loadFound/${load.target.slots} known=$knownObject expected=${expected.inWholeMilliseconds}ms"
 }
 
 /** How a request ended at a target. */
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
@@ -170,8 +170,8 @@
         if (cold) load.cold.tryTake(coldRate(), coldSenders(), now)
         regionOf(load)?.let { shift.recordSent(it, now) }
         val expected = load.expectedWork(request, estimates) * (if (cold) COLD_FACTOR else 1.0)
-        val free = load.load(now) < load.target.slots
-        val flight = Flight(load, request, now, expected, foundFreeSlot = free, knownObject = load.knows(request))
+        val found = load.load(now)
+        val flight = Flight(load, request, now, expected, found < load.target.slots, load.knows(request), found)
         load.recordSent(flight, now)
         return Placement.Send(load.target, flight, cold)
     }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -142,9 +142,8 @@
     public fun lookUp(zone: ZoneName?, region: RegionName?): List<SocketAddress> {
         val taking = membership.taking(clock()).map { EntryVm(it.callers, it.zone) } + ownEntry()
         val regions = settings.placement.regions
-        val near = taking.filter { it.zone == zone }
-            .ifEmpty { taking.filter { regions[it.zone] == (region ?: zone?.let(regions::get)) } }
-            .ifEmpty { taking }
+        // A caller that was refused or cut off by one VM needs another one to turn to, so the zone alone is too small.
+        val near = taking.filter { regions[it.zone] == (region ?: zone?.let(regions::get)) }.ifEmpty { taking }
         return near.map { it.callers }.shuffled().take(LOOKUP_LIMIT)
     }
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestDispatcher.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestDispatcher.kt
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpHeaders
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
+import org.anvilshed.core.MonotonicTime
 import org.anvilshed.core.ServiceName
 import org.anvilshed.core.fleet.FleetTarget
 import org.anvilshed.core.placement.FlightEnd
@@ -36,6 +37,8 @@
     var mayHaveRun = false
     var lastTarget: String? = null
     var lastZone: String? = null
+    var placementReason: String? = null
+    var sentAt: MonotonicTime? = null
 
     val wasSent: Boolean
         get() = sends > 0
@@ -140,6 +143,8 @@
         request.sends++
         request.lastTarget = send.target.key.name
         request.lastZone = send.target.zone.value
+        request.placementReason = send.flight.reason
+        request.sentAt = clock()
         val formerMayHaveRun = request.mayHaveRun
         request.mayHaveRun = true
         val exchange = TargetExchange(connection, withTargetHeaders(request, send), names)
