--- a/core/src/main/kotlin/org/anvilshed/core/membership/RendezvousHash.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/membership/RendezvousHash.kt
@@ -14,7 +14,15 @@
     // The separator keeps ("ab", "c") and ("a", "bc") apart; names contain no slash.
     for (character in "$key/$candidate") hash = (hash xor character.code.toLong()) * FNV_PRIME
     // FNV alone leaves the scores of names that differ in the last character in order, so the bits are mixed.
-    hash = (hash xor (hash ushr 33)) * MIX_FACTOR_1
+    return mixBits(hash)
+}
+
+/** Score of rendezvous hashing for a key and a candidate whose hashes are known already. */
+internal fun rendezvousScore(keyHash: Int, candidateHash: Int): Long =
+    mixBits((keyHash.toLong() shl Int.SIZE_BITS) xor (candidateHash.toLong() and 0xffffffffL) * FNV_PRIME)
+
+private fun mixBits(bits: Long): Long {
+    var hash = (bits xor (bits ushr 33)) * MIX_FACTOR_1
     hash = (hash xor (hash ushr 33)) * MIX_FACTOR_2
     return hash xor (hash ushr 33)
 }
--- a/core/src/main/kotlin/org/anvilshed/core/placement/Flight.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/Flight.kt
@@ -7,19 +7,23 @@
  * Request that was sent to a target and has not ended.
  *
  * @property expected time that the answer was expected to take.
- * @property foundFreeSlot whether the target was believed to have a free slot, so that the answer's time is work alone.
- * @property knownObject whether this VM had sent the request's object to the target before.
  * @property loadFound requests that were believed to be at the target.
+ * @property knownObject whether the target was believed to know the request's object.
+ * @property objectAge requests with objects that were sent to the target since the object was; `null` if it never was.
  */
 public class Flight internal constructor(
     internal val load: TargetLoad,
     internal val request: PlacementRequest,
     internal val sentAt: MonotonicTime,
     internal val expected: Duration,
-    internal val foundFreeSlot: Boolean,
-    internal val knownObject: Boolean,
     internal val loadFound: Int,
+    internal val knownObject: Boolean,
+    internal val objectAge: Long?,
 ) {
+    /** Whether the target was believed to have a free slot, so that the time of its answer is work alone. */
+    internal val foundFreeSlot: Boolean
+        get() = loadFound < load.target.slots
+
     /** Time that the answer was expected to take at the target. */
     public val expectedTime: Duration
         get() = expected
--- a/core/src/main/kotlin/org/anvilshed/core/placement/PlacementRequest.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/PlacementRequest.kt
@@ -25,6 +25,8 @@
     /** Object as targets tell it apart: two kinds of requests may use one key for different objects. */
     internal val objectKey: String? = affinityKey?.let { "${requestClass.priority}/${requestClass.latencyGoal}/$it" }
 
+    internal val objectHash: Int = objectKey?.hashCode() ?: 0
+
     /** Time after the arrival within which the answer is wanted. */
     val goal: Duration
         get() = requestClass.latencyGoal ?: (deadline - arrivedAt)
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
@@ -6,12 +6,12 @@
 import org.anvilshed.core.fleet.FleetTarget
 import org.anvilshed.core.fleet.TargetKey
 import org.anvilshed.core.ingress.ServicePolicy
-import org.anvilshed.core.membership.rendezvousScore
 import java.util.TreeSet
 import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.ZERO
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Queue and placement of the requests of one service at one VM.
@@ -33,6 +33,7 @@
     private val loads = LinkedHashMap<TargetKey, TargetLoad>()
     private val waiting = TreeSet(WaitingRequest.SERVING_ORDER)
     private val estimates = WorkEstimates()
+    private val remoteObjects = RemoteObjects()
     private var evacuated: Set<ZoneName> = emptySet()
     private var members: List<String> = listOf(self)
     private var policy: ServicePolicy? = null
@@ -78,10 +79,10 @@
     public fun offer(request: PlacementRequest, now: MonotonicTime): Placement {
         val usable = usableTargets(request, now)
         if (usable.isEmpty()) return Placement.Refuse(RefusalCause.NO_TARGET, NO_TARGET_RETRY)
-        // A request that waits has an older claim to a free slot than a new one of its rank.
-        val mustQueue = waiting.any { it.request.requestClass.priority <= request.requestClass.priority }
-        if (!mustQueue) sendOrNull(request, usable, now)?.let { return it }
-        return queueOrRefuse(request, usable, now)
+        remoteObjects.adjust(occupancy(now), now)
+        val choice = choose(request, usable, now)
+        return choice.free?.takeIf { it === choice.best }?.let { send(request, it, now) }
+            ?: queueOrRefuse(request, choice, now)
     }
 
     /** Removes a request whose caller left; returns whether it was still waiting. */
@@ -92,39 +93,54 @@
         if (waiting.isEmpty()) return emptyList()
         val decided = ArrayList<Pair<WaitingRequest, Placement>>()
         val iterator = waiting.iterator()
-        var blockedSends = 0
+        var examined = 0
         while (iterator.hasNext()) {
             val ticket = iterator.next()
-            val placement = when {
-                blockedSends < BLOCKED_SENDS_LIMIT -> {
-                    val usable = usableTargets(ticket.request, now)
-                    sendOrNull(ticket.request, usable, now).also { if (it == null) blockedSends++ }
-                }
-
-                else -> null
-            } ?: expiryOrNull(ticket, now) ?: continue
+            if (examined++ >= EXAMINED_LIMIT && now < ticket.expiresAt) continue
+            val placement = decide(ticket, now) ?: continue
             iterator.remove()
             decided.add(ticket to placement)
         }
         return decided
     }
 
+    /** Sends a waiting request to the target that it waits for, or to any free one when its time has come. */
+    private fun decide(ticket: WaitingRequest, now: MonotonicTime): Placement? {
+        val usable = usableTargets(ticket.request, now)
+        if (usable.isEmpty()) return Placement.Refuse(RefusalCause.NO_TARGET, NO_TARGET_RETRY)
+        val choice = choose(ticket.request, usable, now)
+        val isDue = now >= ticket.expiresAt
+        val free = choice.free?.takeIf { isDue || it === choice.best }
+        if (free != null && ticket.request.deadline - now > choice.freeLatency) return send(ticket.request, free, now)
+        if (!isDue) return null
+        return Placement.Refuse(RefusalCause.OVERLOADED, queueWait(now) + MINIMUM_RETRY)
+    }
+
     /** Records at [now] how [flight] ended. */
     public fun finish(flight: Flight, end: FlightEnd, now: MonotonicTime) {
         val trip = tripTime(flight.load.target.zone)
         val work = (now - flight.sentAt - trip).coerceAtLeast(1.milliseconds)
-        val isSample = end is FlightEnd.Answered && !end.failed && flight.foundFreeSlot
-        flight.load.recordEnd(flight, end, work.takeIf { isSample }, now)
-        if (isSample) averageWork += (work - averageWork) * AVERAGE_WEIGHT
-        if (isSample && !flight.load.isCold(now)) {
-            val factor = flight.load.speedFactor
-            estimates.observe(flight.request.requestClass, flight.knownObject, work / factor.coerceAtLeast(1.0))
-        }
+        val isSample = end is FlightEnd.Answered && !end.failed && flight.foundFreeSlot && !flight.load.isCold(now)
+        flight.load.recordEnd(flight, end, if (isSample) learn(flight, work) else null, now)
+    }
+
+    /** Learns from the [work] that a request took; returns it relative to what it should have been. */
+    private fun learn(flight: Flight, work: Duration): Double {
+        val requestClass = flight.request.requestClass
+        val age = flight.objectAge
+        val known = age != null && (age < SURELY_KNOWN_AGE || estimates.looksKnown(requestClass, work))
+        if (age != null) flight.load.learnObject(age, known)
+        val should = estimates.expected(requestClass, if (known) 1.0 else 0.0)
+        // A slow target's work says nothing about the others.
+        if (flight.load.speedFactor < SLOW_FACTOR) estimates.observe(requestClass, known, work)
+        averageWork += (work - averageWork) * AVERAGE_WEIGHT
+        return work / should.coerceAtLeast(1.milliseconds)
     }
 
     /** Returns the time after which the answer of [flight] is so late that the target may be dead. */
     public fun patience(flight: Flight): Duration =
-        (flight.expected * PATIENCE_FACTOR + tripTime(flight.load.target.zone)).coerceAtLeast(SHORTEST_PATIENCE)
+        (estimates.expected(flight.request.requestClass, 0.0) * PATIENCE_FACTOR + tripTime(flight.load.target.zone))
+            .coerceAtLeast(SHORTEST_PATIENCE)
 
     private fun usableTargets(request: PlacementRequest, now: MonotonicTime): List<TargetLoad> {
         val eligible = loads.values.filter { load ->
@@ -137,41 +153,65 @@
         return if (healthy.size * 2 >= eligible.size) healthy else eligible
     }
 
-    private fun sendOrNull(request: PlacementRequest, usable: List<TargetLoad>, now: MonotonicTime): Placement.Send? {
+    /**
+     * Targets for one request: [best] is the one from which its answer would come soonest, although it may be full;
+     * [free] is the best of those that may get a request now.
+     */
+    private class Choice(
+        val best: TargetLoad,
+        val bestLatency: Duration,
+        val free: TargetLoad?,
+        val freeLatency: Duration,
+    )
+
+    private fun choose(request: PlacementRequest, usable: List<TargetLoad>, now: MonotonicTime): Choice {
         val demanded = shift.regions.firstOrNull { it != settings.region && shift.demands(it, now) }
-        val best = (demanded?.let { region -> bestFree(request, usable, now) { it == region } })
-            ?: bestFree(request, usable, now) { true }
-            ?: return null
-        return send(request, best, now)
-    }
-
-    private fun bestFree(
-        request: PlacementRequest,
-        usable: List<TargetLoad>,
-        now: MonotonicTime,
-        inRegion: (RegionName?) -> Boolean,
-    ): TargetLoad? {
-        var best: TargetLoad? = null
+        val ranks = ranks(request, usable)
+        var best = usable.first()
         var bestCost = Duration.INFINITE
-        val preferred = preferredOrNull(request, usable)
+        var bestLatency = Duration.INFINITE
+        var free: TargetLoad? = null
+        var freeCost = Duration.INFINITE
+        var freeLatency = Duration.INFINITE
         for (load in usable) {
-            if (load.load(now) >= loadLimit(load) || !inRegion(regionOf(load))) continue
-            val cost = cost(request, load, load === preferred, now)
-            if (cost < bestCost && mayUse(load, now)) {
+            val region = regionOf(load)
+            val isRemote = region != settings.region
+            val probability = knownProbability(request, load, ranks)
+            val latency = latency(request, load, probability, now)
+            // Requests that leave the region take slots from those that don't have to, so they must gain by it.
+            if (isRemote && region != demanded && !isWorthLeaving(request, load, latency, now)) continue
+            var cost = latency + surcharge(request, load, probability, now)
+            if (region != null && region == demanded) cost *= DEMANDED_DISCOUNT
+            if (cost < bestCost) {
                 best = load
                 bestCost = cost
+                bestLatency = latency
+            }
+            if (cost < freeCost && load.load(now) < loadLimit(load, isRemote) && mayUse(load, now)) {
+                free = load
+                freeCost = cost
+                freeLatency = latency
             }
         }
-        return best
+        // A target that this VM may not use now, although it has room, is not worth waiting for.
+        if (free != null && best.load(now) < loadLimit(best, regionOf(best) != settings.region)) best = free
+        return Choice(best, bestLatency, free, freeLatency)
+    }
+
+    private fun isWorthLeaving(request: PlacementRequest, load: TargetLoad, latency: Duration, now: MonotonicTime): Boolean {
+        val inTime = now - request.arrivedAt + latency + CALLER_TRIP <= request.goal
+        val occupied = load.load(now).toDouble() / load.target.slots
+        return occupied < (if (inTime) REMOTE_OCCUPANCY else LATE_REMOTE_OCCUPANCY)
     }
 
     private fun send(request: PlacementRequest, load: TargetLoad, now: MonotonicTime): Placement.Send {
         val cold = load.isCold(now)
         if (cold) load.cold.tryTake(coldRate(), coldSenders(), now)
         regionOf(load)?.let { shift.recordSent(it, now) }
-        val expected = load.expectedWork(request, estimates) * (if (cold) COLD_FACTOR else 1.0)
         val found = load.load(now)
-        val flight = Flight(load, request, now, expected, found < load.target.slots, load.knows(request), found)
+        val known = load.knows(request)
+        val expected = estimates.expected(request.requestClass, if (known) 1.0 else 0.0) * (if (cold) COLD_FACTOR else 1.0)
+        val flight = Flight(load, request, now, expected, found, known, load.objectAgeOrNull(request))
         load.recordSent(flight, now)
         return Placement.Send(load.target, flight, cold)
     }
@@ -184,32 +224,48 @@
         return isSender && load.cold.isAvailable(now)
     }
 
-    /** Expected time until the answer, with a surcharge for targets that fail or are nearly full. */
-    private fun cost(request: PlacementRequest, load: TargetLoad, preferred: Boolean, now: MonotonicTime): Duration {
-        val work = load.expectedWork(request, estimates)
+    /** Expected time until the answer of [load]. */
+    private fun latency(request: PlacementRequest, load: TargetLoad, knownProbability: Double, now: MonotonicTime): Duration {
+        val work = estimates.expected(request.requestClass, knownProbability)
         val factor = if (load.isCold(now)) COLD_FACTOR else load.slowness(now)
-        val slots = load.target.slots.coerceAtLeast(1)
-        val occupied = load.load(now).toDouble() / slots
-        val surcharge = work * (load.failureShare * FAILURE_COST + occupied.coerceAtMost(1.0) * OCCUPANCY_COST)
-        val wait = averageWork * ((load.load(now) - slots + 1).coerceAtLeast(0).toDouble() / slots)
-        val cost = tripTime(load.target.zone) + (work + wait) * factor + surcharge
+        val slots = load.target.slots
+        val ahead = (load.load(now) - slots + 1).coerceAtLeast(0)
+        return tripTime(load.target.zone) + (work + averageWork * (ahead.toDouble() / slots)) * factor
+    }
+
+    /** What a choice costs beside the time of the request itself. */
+    private fun surcharge(request: PlacementRequest, load: TargetLoad, knownProbability: Double, now: MonotonicTime): Duration {
+        val work = estimates.expected(request.requestClass, knownProbability)
+        val occupied = (load.load(now).toDouble() / load.target.slots).coerceAtMost(1.0)
         val explore = load.needsExploration(now) && regionOf(load) == settings.region && load.failureShare < SOUND_SHARE
-        return when {
-            explore -> cost * EXPLORATION_DISCOUNT
-            preferred -> cost - work * PREFERENCE_DISCOUNT
-            else -> cost
-        }
+        val share = SLOT_COST + load.failureShare * FAILURE_COST + occupied * OCCUPANCY_COST
+        return work * (if (explore) share - EXPLORATION_GAIN else share)
     }
 
     /**
-     * Target of the own region at which all VMs of the region meet with an object that they did not send before, or
-     * `null` if the object is known somewhere or the request concerns none.
+     * Order of the targets for the object of [request], the same for all VMs: positions 0 and 1 of the own region, and
+     * position 0 of the other regions for objects that are kept there.
      */
-    private fun preferredOrNull(request: PlacementRequest, usable: List<TargetLoad>): TargetLoad? {
-        val key = request.objectKey ?: return null
-        val near = usable.filter { regionOf(it) == settings.region }
-        if (near.any { it.knows(request) }) return null
-        return near.maxByOrNull { rendezvousScore(key, it.target.key.name) }
+    private class Ranks(val first: TargetLoad?, val second: TargetLoad?, val remote: TargetLoad?)
+
+    private fun ranks(request: PlacementRequest, usable: List<TargetLoad>): Ranks {
+        if (request.objectKey == null) return Ranks(null, null, null)
+        val (near, far) = usable.partition { regionOf(it) == settings.region }
+        val ordered = near.sortedByDescending { it.rendezvousScore(request.objectHash) }
+        val remote = if (remoteObjects.contains(request.objectHash)) {
+            far.maxByOrNull { it.rendezvousScore(request.objectHash) }
+        } else {
+            null
+        }
+        return Ranks(ordered.getOrNull(0), ordered.getOrNull(1), remote)
+    }
+
+    private fun knownProbability(request: PlacementRequest, load: TargetLoad, ranks: Ranks): Double = when {
+        request.objectKey == null -> 0.0
+        load.knows(request) -> KNOWN_PROBABILITY
+        load === ranks.first || load === ranks.remote -> FIRST_RANK_PROBABILITY
+        load === ranks.second -> SECOND_RANK_PROBABILITY
+        else -> 0.0
     }
 
     /**
@@ -217,44 +273,41 @@
      * sooner than on a free slot elsewhere, and no slot idles for a trip. The rest waits here, where urgent kinds go
      * first.
      */
-    private fun loadLimit(load: TargetLoad): Int = load.target.slots + ceil(load.target.slots * OVERCOMMIT_SHARE).toInt()
-
-    private fun bestWork(request: PlacementRequest, usable: List<TargetLoad>): Duration =
-        usable.minOf { tripTime(it.target.zone) + it.expectedWork(request, estimates) }
+    private fun loadLimit(load: TargetLoad, isRemote: Boolean): Int {
+        val slots = load.target.slots
+        return if (isRemote) slots else slots + ceil(slots * OVERCOMMIT_SHARE).toInt()
+    }
 
-    private fun queueOrRefuse(request: PlacementRequest, usable: List<TargetLoad>, now: MonotonicTime): Placement {
-        val work = bestWork(request, usable)
+    private fun queueOrRefuse(request: PlacementRequest, choice: Choice, now: MonotonicTime): Placement {
+        val wait = queueWait(now)
+        val latency = (choice.bestLatency + wait).coerceAtMost(LONGEST_ESTIMATE)
         val left = request.deadline - now
-        if (left < work) return Placement.Refuse(RefusalCause.DEADLINE, work)
-        val wait = expectedWait(request, usable, now)
-        val affordable = affordableWait(request, work, now)
+        if (left < latency) return Placement.Refuse(RefusalCause.DEADLINE, wait + MINIMUM_RETRY)
+        val untilGoal = request.goal - (now - request.arrivedAt) - CALLER_TRIP - latency
+        val affordable = if (untilGoal > ZERO) untilGoal + wait else request.goal * LATE_WAIT_SHARE
         if (wait > affordable) return Placement.Refuse(RefusalCause.OVERLOADED, wait - affordable + MINIMUM_RETRY)
-        val ticket = WaitingRequest(request, now + affordable, nextSequence++)
+        val ticket = WaitingRequest(request, now + affordable.coerceAtMost(left - latency), nextSequence++)
         waiting.add(ticket)
         return Placement.Wait(ticket)
     }
 
-    /** Longest wait for a slot after which the request is still answered in time, or at least before its deadline. */
-    private fun affordableWait(request: PlacementRequest, work: Duration, now: MonotonicTime): Duration {
-        val untilGoal = request.goal - (now - request.arrivedAt) - work
-        val untilDeadline = request.deadline - now - work
-        return maxOf(untilGoal, request.goal * LATE_WAIT_SHARE).coerceAtMost(untilDeadline).coerceAtLeast(ZERO)
-    }
-
-    private fun expectedWait(request: PlacementRequest, usable: List<TargetLoad>, now: MonotonicTime): Duration {
-        val ahead = waiting.count { it.request.requestClass.priority <= request.requestClass.priority }
-        val near = usable.filter { regionOf(it) == settings.region }.ifEmpty { usable }
+    /** Time in which the targets of the own region serve what this VM holds in its queue. */
+    private fun queueWait(now: MonotonicTime): Duration {
+        if (waiting.isEmpty()) return ZERO
+        val near = nearTargets()
         val slots = near.sumOf { it.target.slots }.coerceAtLeast(1)
         val own = near.sumOf { it.inFlight }.coerceAtLeast(1)
         val all = near.sumOf { it.load(now) }.coerceAtLeast(own)
-        return averageWork * (ahead + 1) * all / (slots.toDouble() * own)
+        return averageWork * (waiting.size.toDouble() * all / (slots.toDouble() * own))
     }
 
-    private fun expiryOrNull(ticket: WaitingRequest, now: MonotonicTime): Placement.Refuse? {
-        if (now < ticket.expiresAt) return null
-        val usable = usableTargets(ticket.request, now)
-        if (usable.isEmpty()) return Placement.Refuse(RefusalCause.NO_TARGET, NO_TARGET_RETRY)
-        return Placement.Refuse(RefusalCause.OVERLOADED, expectedWait(ticket.request, usable, now) + MINIMUM_RETRY)
+    private fun nearTargets(): List<TargetLoad> =
+        loads.values.filter { regionOf(it) == settings.region && !it.target.draining && it.target.zone !in evacuated }
+
+    private fun occupancy(now: MonotonicTime): Double {
+        val near = nearTargets()
+        val slots = near.sumOf { it.target.slots }
+        return if (slots == 0) 1.0 else near.sumOf { it.load(now) }.toDouble() / slots
     }
 
     private fun regionOf(load: TargetLoad): RegionName? = settings.regions[load.target.zone]
@@ -268,33 +321,53 @@
         /** Targets that just started work about this many times as long. */
         const val COLD_FACTOR = 2.0
 
+        /** Work that a request takes from others: a slot that it holds longer serves fewer of them. */
+        const val SLOT_COST = 0.5
+
         /** A failed request costs about two more: one that is sent again and one that it delays. */
         const val FAILURE_COST = 2.0
 
         /** Other VMs may send to the same free slot at the same moment, the sooner the fewer are free. */
         const val OCCUPANCY_COST = 0.1
-        const val EXPLORATION_DISCOUNT = 0.5
+
+        /** Makes a new or doubtful target the choice unless it is expected to be several times slower. */
+        const val EXPLORATION_GAIN = 3.0
         const val SOUND_SHARE = 0.3
+        const val DEMANDED_DISCOUNT = 0.5
 
-        /** Share of the goal that a request may wait if its work alone takes longer than the goal. */
-        const val LATE_WAIT_SHARE = 0.25
+        /** Probabilities that a target knows an object: sent by this VM, or by others of the same preference. */
+        const val KNOWN_PROBABILITY = 0.9
+        const val FIRST_RANK_PROBABILITY = 0.7
+        const val SECOND_RANK_PROBABILITY = 0.3
 
-        /** Share of an unknown object's work by which the target where all VMs meet with it is preferred. */
-        const val PREFERENCE_DISCOUNT = 0.3
+        /** An object that was sent this few requests before is known whatever a target keeps. */
+        const val SURELY_KNOWN_AGE = 2L
+        const val SLOW_FACTOR = 1.7
+
+        /** Occupancy up to which targets of another region take requests that are still in time there, or late. */
+        const val REMOTE_OCCUPANCY = 0.85
+        const val LATE_REMOTE_OCCUPANCY = 0.5
+
+        /** Time between a caller and this VM and back, which counts towards the goal; VMs can't measure it. */
+        val CALLER_TRIP = 10.milliseconds
+
+        /** Share of the goal that a request may wait if it can't be answered in time. */
+        const val LATE_WAIT_SHARE = 0.25
 
         /** Requests that may wait at a target, as a share of its slots. */
-        const val OVERCOMMIT_SHARE = 0.4
+        const val OVERCOMMIT_SHARE = 0.2
         const val AVERAGE_WEIGHT = 0.02
-        val FIRST_AVERAGE_WORK = 200.milliseconds
+        val FIRST_AVERAGE_WORK = 150.milliseconds
 
-        /** Waiting requests that find no target before the rest is only checked for expiry. */
-        const val BLOCKED_SENDS_LIMIT = 3
+        /** Waiting requests for which a target is sought each time; the queue's end is only checked for expiry. */
+        const val EXAMINED_LIMIT = 24
 
         /** An answer this many times over its expected time is probably not coming. */
         const val PATIENCE_FACTOR = 4
-        val SHORTEST_PATIENCE = 250.milliseconds
+        val SHORTEST_PATIENCE = 400.milliseconds
         const val SMALLEST_COLD_RATE = 0.1
         val MINIMUM_RETRY = 50.milliseconds
+        val LONGEST_ESTIMATE = 60.seconds
 
         /** Targets appear through store events, which take about this long after a loss. */
         val NO_TARGET_RETRY = 300.milliseconds
--- a/core/src/main/kotlin/org/anvilshed/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/TargetLoad.kt
@@ -2,6 +2,7 @@
 
 import org.anvilshed.core.MonotonicTime
 import org.anvilshed.core.fleet.FleetTarget
+import org.anvilshed.core.membership.rendezvousScore
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -9,10 +10,7 @@
 /** What this VM knows of the load and speed of one target. Not thread-safe. */
 internal class TargetLoad(var target: FleetTarget, createdAt: MonotonicTime) {
     private val flights = ArrayList<Flight>()
-    private val recentObjects = object : LinkedHashMap<String, Unit>(REMEMBERED_OBJECTS, LOAD_FACTOR, true) {
-        override fun removeEldestEntry(eldest: Map.Entry<String, Unit>): Boolean = size > REMEMBERED_OBJECTS
-    }
-    private val unknownObjectWork = HashMap<RequestClass, Double>()
+    private val objects = ObjectMemory()
     private var reportedOthers = 0
     private var reportedAt = createdAt - REPORT_LIFETIME
     private var fullUntil = createdAt
@@ -35,6 +33,7 @@
 
     private var lastSentAt: MonotonicTime = createdAt
     private var wasUsed = false
+    private val nameHash = target.key.name.hashCode()
 
     val inFlight: Int
         get() = flights.size
@@ -68,37 +67,35 @@
         return doubtful && now - lastSentAt >= EXPLORATION_PERIOD * speedFactor.coerceIn(1.0, SLOWEST_FACTOR)
     }
 
-    /** Whether this VM sent the object of [request] here lately. */
-    fun knows(request: PlacementRequest): Boolean = request.objectKey?.let(recentObjects::containsKey) ?: false
+    /** Position of this target in the order in which VMs prefer targets for the object with the hash [objectHash]. */
+    fun rendezvousScore(objectHash: Int): Long = rendezvousScore(objectHash, nameHash)
 
-    /**
-     * Expected work of [request] here.
-     *
-     * Other VMs send objects to the target as well, so what this VM did not send may still be known there; how often
-     * is learned for each target.
-     */
-    fun expectedWork(request: PlacementRequest, estimates: WorkEstimates): Duration {
-        if (request.objectKey != null && !knows(request)) {
-            unknownObjectWork[request.requestClass]?.let { return it.milliseconds }
-        }
-        return estimates.expected(request.requestClass, knows(request))
-    }
+    /** Whether the target probably knows the object of [request] from an earlier request of this VM. */
+    fun knows(request: PlacementRequest): Boolean = request.objectKey?.let(objects::knows) ?: false
+
+    /** Requests with objects that were sent here since the object of [request] was, or `null`. */
+    fun objectAgeOrNull(request: PlacementRequest): Long? = request.objectKey?.let(objects::ageOrNull)
 
     fun recordSent(flight: Flight, now: MonotonicTime) {
         flights.add(flight)
+        flight.request.objectKey?.let(objects::recordSent)
         lastSentAt = now
         wasUsed = true
     }
 
-    fun recordEnd(flight: Flight, end: FlightEnd, work: Duration?, now: MonotonicTime) {
+    /**
+     * Takes over the end of [flight].
+     *
+     * @param slowdown work of the request relative to what it should have been, or `null` if it says nothing.
+     */
+    fun recordEnd(flight: Flight, end: FlightEnd, slowdown: Double?, now: MonotonicTime) {
         flights.remove(flight)
         when (end) {
             is FlightEnd.Answered -> {
-                flight.request.objectKey?.let { recentObjects[it] = Unit }
                 end.report?.let { recordReport(it, now) }
                 recordFailure(end.failed)
                 if (end.failed) countFailure(now) else clearFailures()
-                if (work != null) learnWork(flight, work)
+                if (slowdown != null) learnSpeed(slowdown)
             }
 
             is FlightEnd.Shed -> {
@@ -127,14 +124,10 @@
         failureShare += FAILURE_WEIGHT * ((if (failed) 1.0 else 0.0) - failureShare)
     }
 
-    private fun learnWork(flight: Flight, work: Duration) {
-        if (flight.request.objectKey != null && !flight.knownObject) {
-            val sample = work.inWholeMicroseconds / MICROSECONDS_PER_MILLISECOND
-            unknownObjectWork.merge(flight.request.requestClass, sample) { former, _ ->
-                former + SPEED_WEIGHT * (sample - former)
-            }
-        }
-        val sample = work / flight.expected.coerceAtLeast(1.milliseconds)
+    /** Takes over whether the target knew an object that was sent [age] requests before. */
+    fun learnObject(age: Long, known: Boolean): Unit = objects.learn(age, known)
+
+    private fun learnSpeed(sample: Double) {
         speedFactor += SPEED_WEIGHT * (sample.coerceIn(FASTEST_FACTOR, SLOWEST_FACTOR) - speedFactor)
     }
 
@@ -154,9 +147,6 @@
     }
 
     private companion object {
-        const val REMEMBERED_OBJECTS = 256
-        const val LOAD_FACTOR = 0.75f
-
         /** A report is of no use once most of the requests it counted have ended. */
         val REPORT_LIFETIME = 250.milliseconds
 
@@ -168,7 +158,6 @@
         const val FASTEST_FACTOR = 0.3
         const val SLOWEST_FACTOR = 20.0
         const val SPEED_WEIGHT = 0.2
-        const val MICROSECONDS_PER_MILLISECOND = 1000.0
         const val FAILURE_WEIGHT = 0.1
 
         const val FAILURES_TO_SUSPEND = 3
--- a/core/src/main/kotlin/org/anvilshed/core/placement/WorkEstimates.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/WorkEstimates.kt
@@ -1,48 +1,59 @@
 package org.anvilshed.core.placement
 
+import kotlin.math.sqrt
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Learned work of the request classes of one service, without trips and waits. Not thread-safe. */
+/**
+ * Learned work of the request classes of one service, without trips and waits.
+ *
+ * A target that handled an object recently takes less work for it, so there are two figures for each class. Not
+ * thread-safe.
+ */
 internal class WorkEstimates {
-    private class Estimate {
-        var known = Double.NaN
-        var unknown = Double.NaN
-    }
+    private class Estimate(var known: Double, var unknown: Double)
 
     private val estimates = HashMap<RequestClass, Estimate>()
 
-    /** Returns the expected work of a request; [knownObject] tells whether the target handled its object before. */
-    fun expected(requestClass: RequestClass, knownObject: Boolean): Duration {
-        val estimate = estimates[requestClass]
-        val unknown = estimate?.unknown?.takeUnless { it.isNaN() }?.milliseconds
-            ?: ((requestClass.latencyGoal ?: DEFAULT_GOAL) * FIRST_SHARE_OF_GOAL)
-        if (!knownObject) return unknown
-        return estimate?.known?.takeUnless { it.isNaN() }?.milliseconds ?: (unknown * FIRST_KNOWN_SHARE)
+    /** Returns the expected work if the target handled the object recently with the probability [knownProbability]. */
+    fun expected(requestClass: RequestClass, knownProbability: Double): Duration {
+        val estimate = estimateOf(requestClass)
+        return (estimate.known * knownProbability + estimate.unknown * (1 - knownProbability)).milliseconds
+    }
+
+    /** Returns whether [work] looks like that for an object that the target handled recently. */
+    fun looksKnown(requestClass: RequestClass, work: Duration): Boolean {
+        val estimate = estimateOf(requestClass)
+        return milliseconds(work) < sqrt(estimate.known * estimate.unknown)
     }
 
-    fun observe(requestClass: RequestClass, knownObject: Boolean, work: Duration) {
-        val estimate = estimates.getOrPut(requestClass) { Estimate() }
-        val sample = work.inWholeMicroseconds / MICROSECONDS_PER_MILLISECOND
-        if (knownObject) {
-            estimate.known = average(estimate.known, sample)
+    /** Takes over the work of one request, of which [known] tells whether the target knew its object. */
+    fun observe(requestClass: RequestClass, known: Boolean, work: Duration) {
+        val estimate = estimateOf(requestClass)
+        if (known) {
+            estimate.known += SAMPLE_WEIGHT * (milliseconds(work) - estimate.known)
         } else {
-            estimate.unknown = average(estimate.unknown, sample)
+            estimate.unknown += SAMPLE_WEIGHT * (milliseconds(work) - estimate.unknown)
         }
+        estimate.known = estimate.known.coerceAtMost(estimate.unknown)
+    }
+
+    private fun estimateOf(requestClass: RequestClass): Estimate = estimates.getOrPut(requestClass) {
+        val unknown = milliseconds((requestClass.latencyGoal ?: DEFAULT_GOAL) * FIRST_SHARE_OF_GOAL)
+        Estimate(unknown * FIRST_KNOWN_SHARE, unknown)
     }
 
-    private fun average(former: Double, sample: Double): Double =
-        if (former.isNaN()) sample else former + SAMPLE_WEIGHT * (sample - former)
+    private fun milliseconds(duration: Duration): Double = duration.inWholeMicroseconds / MICROSECONDS_PER_MILLISECOND
 
     private companion object {
         const val SAMPLE_WEIGHT = 0.05
         const val MICROSECONDS_PER_MILLISECOND = 1000.0
 
-        /** Before the first answer the work is taken as this share of the goal: goals are set above the usual work. */
-        const val FIRST_SHARE_OF_GOAL = 0.6
+        /** Before the first answer the work is taken as this share of the goal: goals are set near the usual work. */
+        const val FIRST_SHARE_OF_GOAL = 0.8
 
         /** Before the first repeated object its work is taken as this share of an unknown object's. */
-        const val FIRST_KNOWN_SHARE = 0.5
+        const val FIRST_KNOWN_SHARE = 0.4
         val DEFAULT_GOAL = 500.milliseconds
     }
 }
