--- a/core/src/main/kotlin/org/anvilshed/core/placement/Flight.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/Flight.kt
@@ -1,6 +1,7 @@
 package org.anvilshed.core.placement
 
 import org.anvilshed.core.MonotonicTime
+import java.util.Locale
 import kotlin.time.Duration
 
 /**
@@ -8,6 +9,7 @@
  *
  * @property expected time that the answer was expected to take.
  * @property loadFound requests that were believed to be at the target.
+ * @property slotShare part of its time in flight in which the request takes a slot and is not under way.
  * @property knownObject whether the target was believed to know the request's object.
  * @property objectAge requests with objects that were sent to the target since the object was; `null` if it never was.
  */
@@ -16,7 +18,8 @@
     internal val request: PlacementRequest,
     internal val sentAt: MonotonicTime,
     internal val expected: Duration,
-    internal val loadFound: Int,
+    internal val loadFound: Double,
+    internal val slotShare: Double,
     internal val knownObject: Boolean,
     internal val objectAge: Long?,
 ) {
@@ -30,7 +33,8 @@
 
     /** What decided the choice of the target, for the log. */
     public val reason: String
-        get() = "load=$loadFound/${load.target.slots} known=$knownObject expected=${expected.inWholeMilliseconds}ms"
+        get() = "load=%.1f/${load.target.slots} known=$knownObject expected=${expected.inWholeMilliseconds}ms"
+            .format(Locale.ROOT, loadFound)
 }
 
 /** How a request ended at a target. */
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
@@ -41,14 +41,16 @@
 
     /** Work of the requests that were answered lately, whatever their kind. */
     private var averageWork = FIRST_AVERAGE_WORK
+    private var mostSlots = 0
+    private var mostSlotsAt = MonotonicTime(0)
 
     /** Number of waiting requests. */
     public val queueLength: Int
         get() = waiting.size
 
-    /** Requests in flight from this VM for each target that has some. */
-    public fun ownFlights(): Map<String, Int> =
-        loads.values.filter { it.inFlight > 0 }.associate { it.target.key.name to it.inFlight }
+    /** Slots that the requests in flight of this VM take, for each target that has some. */
+    public fun occupiedSlots(): Map<String, Double> =
+        loads.values.filter { it.inFlight > 0 }.associate { it.target.key.name to it.occupiedSlots }
 
     /** Takes over the targets of the service; what is known of targets that stay is kept. */
     public fun updateTargets(targets: Collection<FleetTarget>, evacuatedZones: Set<ZoneName>, now: MonotonicTime) {
@@ -64,9 +66,9 @@
         this.members = members
     }
 
-    /** Takes over the requests in flight that other VMs announced; [flightsOf] gives their number by target name. */
-    public fun updateAnnounced(flightsOf: (String) -> Int) {
-        for (load in loads.values) load.announcedOthers = flightsOf(load.target.key.name)
+    /** Takes over what other VMs announced; [slotsOf] gives the slots that their requests take, by target name. */
+    public fun updateAnnounced(slotsOf: (String) -> Double) {
+        for (load in loads.values) load.announcedOthers = slotsOf(load.target.key.name)
     }
 
     /** Returns whether [target] may still get a request right now; asked again immediately before each send. */
@@ -187,20 +189,20 @@
                 bestCost = cost
                 bestLatency = latency
             }
-            if (cost < freeCost && load.load(now) < loadLimit(load, isRemote) && mayUse(load, now)) {
+            if (cost < freeCost && hasRoom(load, isRemote, now) && mayUse(load, now)) {
                 free = load
                 freeCost = cost
                 freeLatency = latency
             }
         }
         // A target that this VM may not use now, although it has room, is not worth waiting for.
-        if (free != null && best.load(now) < loadLimit(best, regionOf(best) != settings.region)) best = free
+        if (free != null && hasRoom(best, regionOf(best) != settings.region, now)) best = free
         return Choice(best, bestLatency, free, freeLatency)
     }
 
     private fun isWorthLeaving(request: PlacementRequest, load: TargetLoad, latency: Duration, now: MonotonicTime): Boolean {
         val inTime = now - request.arrivedAt + latency + CALLER_TRIP <= request.goal
-        val occupied = load.load(now).toDouble() / load.target.slots
+        val occupied = load.load(now) / load.target.slots
         return occupied < (if (inTime) REMOTE_OCCUPANCY else LATE_REMOTE_OCCUPANCY)
     }
 
@@ -211,14 +213,15 @@
         val found = load.load(now)
         val known = load.knows(request)
         val expected = estimates.expected(request.requestClass, if (known) 1.0 else 0.0) * (if (cold) COLD_FACTOR else 1.0)
-        val flight = Flight(load, request, now, expected, found, known, load.objectAgeOrNull(request))
+        val slotShare = expected / (expected + tripTime(load.target.zone))
+        val flight = Flight(load, request, now, expected, found, slotShare, known, load.objectAgeOrNull(request))
         load.recordSent(flight, now)
         return Placement.Send(load.target, flight, cold)
     }
 
     private fun mayUse(load: TargetLoad, now: MonotonicTime): Boolean {
         val region = regionOf(load)
-        if (region != null && region != settings.region && !shift.allows(region, now)) return false
+        if (region != null && region != settings.region && !shift.allows(region, lostSlots(now), now)) return false
         if (!load.isCold(now)) return true
         val isSender = ColdAllowance.isSender(load.target.key.name, self, members, coldSenders())
         return isSender && load.cold.isAvailable(now)
@@ -229,14 +232,14 @@
         val work = estimates.expected(request.requestClass, knownProbability)
         val factor = if (load.isCold(now)) COLD_FACTOR else load.slowness(now)
         val slots = load.target.slots
-        val ahead = (load.load(now) - slots + 1).coerceAtLeast(0)
-        return tripTime(load.target.zone) + (work + averageWork * (ahead.toDouble() / slots)) * factor
+        val ahead = (load.load(now) - slots + 1).coerceAtLeast(0.0)
+        return tripTime(load.target.zone) + (work + averageWork * (ahead / slots)) * factor
     }
 
     /** What a choice costs beside the time of the request itself. */
     private fun surcharge(request: PlacementRequest, load: TargetLoad, knownProbability: Double, now: MonotonicTime): Duration {
         val work = estimates.expected(request.requestClass, knownProbability)
-        val occupied = (load.load(now).toDouble() / load.target.slots).coerceAtMost(1.0)
+        val occupied = (load.load(now) / load.target.slots).coerceAtMost(1.0)
         val explore = load.needsExploration(now) && regionOf(load) == settings.region && load.failureShare < SOUND_SHARE
         val share = SLOT_COST + load.failureShare * FAILURE_COST + occupied * OCCUPANCY_COST
         return work * (if (explore) share - EXPLORATION_GAIN else share)
@@ -273,9 +276,11 @@
      * sooner than on a free slot elsewhere, and no slot idles for a trip. The rest waits here, where urgent kinds go
      * first.
      */
-    private fun loadLimit(load: TargetLoad, isRemote: Boolean): Int {
+    private fun hasRoom(load: TargetLoad, isRemote: Boolean, now: MonotonicTime): Boolean {
         val slots = load.target.slots
-        return if (isRemote) slots else slots + ceil(slots * OVERCOMMIT_SHARE).toInt()
+        val limit = if (isRemote) slots else slots + ceil(slots * OVERCOMMIT_SHARE).toInt()
+        // Requests under way count as a part of a slot, so loads are compared to the middle between two numbers.
+        return load.load(now) < limit - HALF_SLOT
     }
 
     private fun queueOrRefuse(request: PlacementRequest, choice: Choice, now: MonotonicTime): Placement {
@@ -296,9 +301,9 @@
         if (waiting.isEmpty()) return ZERO
         val near = nearTargets()
         val slots = near.sumOf { it.target.slots }.coerceAtLeast(1)
-        val own = near.sumOf { it.inFlight }.coerceAtLeast(1)
+        val own = near.sumOf { it.occupiedSlots }.coerceAtLeast(1.0)
         val all = near.sumOf { it.load(now) }.coerceAtLeast(own)
-        return averageWork * (waiting.size.toDouble() * all / (slots.toDouble() * own))
+        return averageWork * (waiting.size * all / (slots * own))
     }
 
     private fun nearTargets(): List<TargetLoad> =
@@ -307,11 +312,23 @@
     private fun occupancy(now: MonotonicTime): Double {
         val near = nearTargets()
         val slots = near.sumOf { it.target.slots }
-        return if (slots == 0) 1.0 else near.sumOf { it.load(now) }.toDouble() / slots
+        return if (slots == 0) 1.0 else near.sumOf { it.load(now) } / slots
     }
 
     private fun regionOf(load: TargetLoad): RegionName? = settings.regions[load.target.zone]
 
+    /** Whether the own region lost a good part of its slots lately, so that its requests have to move at once. */
+    private fun lostSlots(now: MonotonicTime): Boolean = nearTargets().sumOf { it.target.slots } < slotsRemembered(now) * LOST_SLOTS_SHARE
+
+    private fun slotsRemembered(now: MonotonicTime): Int {
+        val present = nearTargets().sumOf { it.target.slots }
+        if (present >= mostSlots || now - mostSlotsAt >= SLOTS_MEMORY) {
+            mostSlots = present
+            mostSlotsAt = now
+        }
+        return mostSlots
+    }
+
     private fun coldRate(): Double = (policy?.coldRequestsPerSecond ?: 1.0).coerceAtLeast(SMALLEST_COLD_RATE)
 
     private fun coldSenders(): Int =
@@ -351,11 +368,16 @@
         /** Time between a caller and this VM and back, which counts towards the goal; VMs can't measure it. */
         val CALLER_TRIP = 10.milliseconds
 
+        /** A region that keeps less than this share of the slots that it had within this time moves its requests. */
+        const val LOST_SLOTS_SHARE = 0.8
+        val SLOTS_MEMORY = 10.seconds
+
         /** Share of the goal that a request may wait if it can't be answered in time. */
         const val LATE_WAIT_SHARE = 0.25
 
         /** Requests that may wait at a target, as a share of its slots. */
         const val OVERCOMMIT_SHARE = 0.2
+        const val HALF_SLOT = 0.5
         const val AVERAGE_WEIGHT = 0.02
         val FIRST_AVERAGE_WORK = 150.milliseconds
 
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ShiftBand.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ShiftBand.kt
@@ -26,11 +26,17 @@
         counters.getOrPut(region) { WindowCounter(SHIFT_WINDOW * 2, 2 * HALF) }.add(now)
     }
 
-    /** Returns whether one more request sent to the remote [region] keeps its share within the band. */
-    public fun allows(region: RegionName, now: MonotonicTime): Boolean {
+    /**
+     * Returns whether one more request sent to the remote [region] keeps its share within the band.
+     *
+     * @param isForced whether the own region lost targets, so that its requests have to move or are refused; the cap is
+     *   meant for changes of traffic and config, and such a move is only kept from happening all at once.
+     */
+    public fun allows(region: RegionName, isForced: Boolean, now: MonotonicTime): Boolean {
         val recentTotal = total.countBetween(now, 0, HALF - 1)
         val recent = counters[region]?.countBetween(now, 0, HALF - 1) ?: 0
-        return (recent + 1).toDouble() / (recentTotal + 1) <= formerShare(region, now) + maximumShift * SAFETY_SHARE
+        return (recent + 1).toDouble() / (recentTotal + 1) <=
+            formerShare(region, now) + (if (isForced) FORCED_STEP else maximumShift * SAFETY_SHARE)
     }
 
     /** Returns whether the share of the remote [region] fell so far that the next request should be sent there. */
@@ -59,7 +65,8 @@
         const val SMALLEST_SAMPLE = 20
 
         /** Share that may leave the region at once while nothing was sent before that a change could be measured by. */
-        const val FIRST_SHARE = 0.2
+        const val FIRST_SHARE = 0.3
+        const val FORCED_STEP = 0.5
 
         /** The rule is judged on the sum of a region with windows at any offset. */
         const val SAFETY_SHARE = 0.6
--- a/core/src/main/kotlin/org/anvilshed/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/TargetLoad.kt
@@ -11,7 +11,7 @@
 internal class TargetLoad(var target: FleetTarget, createdAt: MonotonicTime) {
     private val flights = ArrayList<Flight>()
     private val objects = ObjectMemory()
-    private var reportedOthers = 0
+    private var reportedOthers = 0.0
     private var reportedAt = createdAt - REPORT_LIFETIME
     private var fullUntil = createdAt
     private var consecutiveFailures = 0
@@ -20,8 +20,8 @@
 
     val cold = ColdAllowance()
 
-    /** Requests in flight that other VMs announced. */
-    var announcedOthers = 0
+    /** Slots that the requests in flight of other VMs take, as they announced. */
+    var announcedOthers = 0.0
 
     /** Observed work relative to the expected work; above 1 for a slow target. */
     var speedFactor = 1.0
@@ -38,11 +38,15 @@
     val inFlight: Int
         get() = flights.size
 
-    /** Requests that are believed to be at the target, from the own count, the other VMs' and the target's reports. */
-    fun load(now: MonotonicTime): Int {
-        if (now < fullUntil) return maxOf(target.slots, flights.size)
-        val reported = if (now - reportedAt < REPORT_LIFETIME) reportedOthers else 0
-        return flights.size + maxOf(announcedOthers, reported)
+    /** Slots that the requests in flight of this VM take; one that is under way takes none. */
+    val occupiedSlots: Double
+        get() = flights.sumOf { it.slotShare }
+
+    /** Requests that are believed to be at the target, from the own ones, the other VMs' and the target's reports. */
+    fun load(now: MonotonicTime): Double {
+        if (now < fullUntil) return maxOf(target.slots.toDouble(), occupiedSlots)
+        val reported = if (now - reportedAt < REPORT_LIFETIME) reportedOthers else 0.0
+        return occupiedSlots + maxOf(announcedOthers, reported)
     }
 
     fun isCold(now: MonotonicTime): Boolean = now < target.coldUntil
@@ -61,7 +65,7 @@
 
     /** Whether the target should get a request to learn how it does now: it is new, or was slow or failing before. */
     fun needsExploration(now: MonotonicTime): Boolean {
-        if (flights.isNotEmpty() || announcedOthers > 0) return false
+        if (flights.isNotEmpty() || announcedOthers > 0.0) return false
         if (!wasUsed) return true
         val doubtful = speedFactor > DOUBTFUL_SPEED || failureShare > DOUBTFUL_FAILURES
         return doubtful && now - lastSentAt >= EXPLORATION_PERIOD * speedFactor.coerceIn(1.0, SLOWEST_FACTOR)
@@ -116,7 +120,7 @@
     }
 
     private fun recordReport(report: LoadReport, now: MonotonicTime) {
-        reportedOthers = (report.running + report.waiting - flights.size).coerceAtLeast(0)
+        reportedOthers = (report.running + report.waiting - occupiedSlots).coerceAtLeast(0.0)
         reportedAt = now
     }
 
--- a/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
@@ -151,7 +151,7 @@
 
         test("what other VMs have in flight counts, so that they do not all choose the same target") {
             val pool = pool(target("a", slots = 2), target("b", slots = 2))
-            pool.updateAnnounced { if (it == "a") 3 else 0 }
+            pool.updateAnnounced { if (it == "a") 3.0 else 0.0 }
             repeat(3) { pool.send(START).target.key.name shouldBe "b" }
         }
 
--- a/core/src/test/kotlin/org/anvilshed/core/placement/ShiftBandTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/ShiftBandTest.kt
@@ -22,7 +22,7 @@
                 // All requests would move for the middle ten seconds, and none before and after.
                 val wantsRemote = number in 2_000..4_000
                 val region = when {
-                    wantsRemote && band.allows(REMOTE, now) -> REMOTE
+                    wantsRemote && band.allows(REMOTE, isForced = false, now) -> REMOTE
                     !wantsRemote && band.demands(REMOTE, now) -> REMOTE
                     else -> HOME
                 }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -40,6 +40,7 @@
 import org.anvilshed.gateway.store.StoreObject
 import org.anvilshed.gateway.store.StoreResult
 import org.anvilshed.gateway.targets.TargetConnections
+import kotlin.math.roundToInt
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -210,16 +211,18 @@
         metrics.setSizes(lanes.values.sumOf { it.pool.queueLength }, membership.live(now).size + 1)
     }
 
-    private fun announce(now: MonotonicTime) = peers.announce(isReady, revisions(), ownFlights(), now)
+    private fun announce(now: MonotonicTime) = peers.announce(isReady, revisions(), occupiedSlots(), now)
 
-    private fun announceNow() = peers.announceNow(isReady, revisions(), ownFlights(), clock())
+    private fun announceNow() = peers.announceNow(isReady, revisions(), occupiedSlots(), clock())
 
     private fun revisions(): List<Long> = StoreKind.entries.map { feeds[it]?.changedRevision ?: -1 }
 
-    private fun ownFlights(): Map<Int, Int> {
+    private fun occupiedSlots(): Map<Int, Int> {
         val result = HashMap<Int, Int>()
         for (lane in lanes.values) {
-            for ((name, count) in lane.pool.ownFlights()) result[Announcement.targetHash(name)] = count
+            for ((name, slots) in lane.pool.occupiedSlots()) {
+                result[Announcement.targetHash(name)] = (slots * Announcement.SLOT_UNITS).roundToInt()
+            }
         }
         return result
     }
@@ -258,10 +261,10 @@
     private fun refreshAnnounced(now: MonotonicTime) {
         val sums = HashMap<Int, Int>()
         for (peer in membership.live(now)) {
-            for ((hash, count) in peer.announcement.flights) sums.merge(hash, count, Int::plus)
+            for ((hash, count) in peer.announcement.occupiedSlots) sums.merge(hash, count, Int::plus)
         }
         for (lane in lanes.values) {
-            lane.pool.updateAnnounced { sums[Announcement.targetHash(it)] ?: 0 }
+            lane.pool.updateAnnounced { (sums[Announcement.targetHash(it)] ?: 0) / Announcement.SLOT_UNITS }
             if (lane.pool.queueLength > 0) lane.pump()
         }
     }
@@ -390,7 +393,9 @@
     private companion object {
         val TICK = 20.milliseconds
         val SLOW_TICK = 250.milliseconds
-        val CATCH_UP_DELAY = 250.milliseconds
+
+        /** Longer than a feed pauses between two watches, so that a peer is asked only if the watch is silent. */
+        val CATCH_UP_DELAY = 500.milliseconds
         val STOP_POLL = 20.milliseconds
 
         /** The process has to be gone before the platform kills it. */
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/Announcement.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/Announcement.kt
@@ -19,7 +19,7 @@
  * @property control address for other entry VMs, as `host:port`.
  * @property taking whether the VM takes callers; false before it is ready and once it is leaving.
  * @property revisions store revision of the last known change, by [StoreKind.ordinal].
- * @property flights requests in flight by hash of the target's name.
+ * @property occupiedSlots slots that this VM's requests in flight take, in [SLOT_UNITS], by hash of the target's name.
  * @property peers hosts of the VMs that this one heard lately.
  */
 @OptIn(ExperimentalSerializationApi::class)
@@ -33,7 +33,7 @@
     @CborLabel(5) public val taking: Boolean,
     @CborLabel(6) public val sequence: Long,
     @CborLabel(7) public val revisions: List<Long>,
-    @CborLabel(8) public val flights: Map<Int, Int>,
+    @CborLabel(8) public val occupiedSlots: Map<Int, Int>,
     @CborLabel(9) public val peers: List<String>,
 ) {
     /** Returns the datagram of this announcement. */
@@ -45,7 +45,10 @@
             ignoreUnknownKeys = true
         }
 
-        /** Key of the target [name] in [flights]. */
+        /** Units of [occupiedSlots] in one slot. */
+        public const val SLOT_UNITS: Double = 10.0
+
+        /** Key of the target [name] in [occupiedSlots]. */
         public fun targetHash(name: String): Int = name.hashCode()
 
         /** Returns the announcement in [bytes], or `null` if they are damaged. */
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerExchange.kt
@@ -25,14 +25,14 @@
     private var lastNearAt = MonotonicTime(Long.MIN_VALUE / 2)
     private var lastFarAt = MonotonicTime(Long.MIN_VALUE / 2)
     private var lastSeedAt = MonotonicTime(Long.MIN_VALUE / 2)
-    private var lastFlights: Map<Int, Int> = emptyMap()
+    private var lastOccupied: Map<Int, Int> = emptyMap()
 
     /** Hosts of VMs that the store or a peer named and that were not heard yet. */
     private val candidates = HashSet<String>()
 
     /** Announces this VM to those whose turn it is at [now]. */
-    fun announce(taking: Boolean, revisions: List<Long>, flights: Map<Int, Int>, now: MonotonicTime) {
-        val near = now - lastNearAt >= if (flights == lastFlights) IDLE_NEAR_PERIOD else NEAR_PERIOD
+    fun announce(taking: Boolean, revisions: List<Long>, occupiedSlots: Map<Int, Int>, now: MonotonicTime) {
+        val near = now - lastNearAt >= if (occupiedSlots == lastOccupied) IDLE_NEAR_PERIOD else NEAR_PERIOD
         val far = now - lastFarAt >= FAR_PERIOD
         val seeds = now - lastSeedAt >= SEED_PERIOD
         if (!near && !far && !seeds) return
@@ -49,17 +49,17 @@
         hosts.remove(settings.listen.control.host)
         if (near) lastNearAt = now
         if (far) lastFarAt = now
-        lastFlights = flights
+        lastOccupied = occupiedSlots
         if (hosts.isEmpty()) return
-        val datagram = announcement(taking, revisions, flights, live).encode()
+        val datagram = announcement(taking, revisions, occupiedSlots, live).encode()
         for (host in hosts) send(datagram, host)
     }
 
     /** Tells all live VMs at once, for changes that can't wait. */
-    fun announceNow(taking: Boolean, revisions: List<Long>, flights: Map<Int, Int>, now: MonotonicTime) {
+    fun announceNow(taking: Boolean, revisions: List<Long>, occupiedSlots: Map<Int, Int>, now: MonotonicTime) {
         lastNearAt = MonotonicTime(Long.MIN_VALUE / 2)
         lastFarAt = lastNearAt
-        announce(taking, revisions, flights, now)
+        announce(taking, revisions, occupiedSlots, now)
     }
 
     /** Takes over an announcement; returns the peer if it may know something newer. */
@@ -78,7 +78,7 @@
         addresses.forEach { if (candidates.size < CANDIDATES_LIMIT) candidates.add(it.host) }
     }
 
-    private fun announcement(taking: Boolean, revisions: List<Long>, flights: Map<Int, Int>, live: List<PeerVm>) =
+    private fun announcement(taking: Boolean, revisions: List<Long>, occupiedSlots: Map<Int, Int>, live: List<PeerVm>) =
         Announcement(
             name = settings.name.value,
             startedAtMillis = startedAtMillis,
@@ -88,7 +88,7 @@
             taking = taking,
             sequence = ++sequence,
             revisions = revisions,
-            flights = flights,
+            occupiedSlots = occupiedSlots,
             peers = live.map { it.control.host }.shuffled().take(NAMED_PEERS),
         )
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
@@ -122,6 +122,8 @@
             listener.changed(events, wasAwayRecently())
         }
         watchRevision = maxOf(watchRevision, changes.revision)
+        // Changes come in series, and each answer is a priced call: those of the next moment share one answer.
+        if (events.isNotEmpty()) delay(SETTLE_TIME)
         return StoreResult.Success(Unit)
     }
 
@@ -165,6 +167,9 @@
 
         /** Each call is priced; a peer's newer revision shows a silent watch sooner than a short wait would. */
         val WATCH_WAIT = 10.seconds
+
+        /** A tenth of the shortest time in which a change has to be in force. */
+        val SETTLE_TIME = 250.milliseconds
         val FIRST_BACKOFF = 50.milliseconds
         val LONGEST_BACKOFF = 1.seconds
         const val LOWEST_JITTER = 0.5
