--- a/core/src/main/kotlin/org/anvilshed/core/SocketAddress.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/SocketAddress.kt
@@ -6,10 +6,7 @@
  * @property host IP address as text.
  * @property port port from 1 to 65535.
  */
-public data class SocketAddress(
-    public val host: String,
-    public val port: Int,
-) {
+public data class SocketAddress(public val host: String, public val port: Int) {
     override fun toString(): String = "$host:$port"
 
     public companion object {
--- a/core/src/main/kotlin/org/anvilshed/core/fleet/FleetTarget.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/fleet/FleetTarget.kt
@@ -11,10 +11,7 @@
  * @property name registered identifier, which a target may keep over a restart.
  * @property startedAtMillis Unix time of the start in milliseconds; tells lifetimes of one name apart. 0 if unknown.
  */
-public data class TargetKey(
-    public val name: String,
-    public val startedAtMillis: Long,
-)
+public data class TargetKey(public val name: String, public val startedAtMillis: Long)
 
 /**
  * Target as it registered itself.
--- a/core/src/main/kotlin/org/anvilshed/core/ingress/IngressRoute.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/ingress/IngressRoute.kt
@@ -36,7 +36,4 @@
  *
  * @property weight positive weight, relative to the other parts of the route.
  */
-public data class RoutePart(
-    public val service: ServiceName,
-    public val weight: Int,
-)
+public data class RoutePart(public val service: ServiceName, public val weight: Int)
--- a/core/src/main/kotlin/org/anvilshed/core/placement/Flight.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/Flight.kt
@@ -44,10 +44,7 @@
      *
      * @property failed whether the answer is a failure of the target.
      */
-    public data class Answered(
-        public val failed: Boolean,
-        public val report: LoadReport?,
-    ) : FlightEnd
+    public data class Answered(public val failed: Boolean, public val report: LoadReport?) : FlightEnd
 
     /** The target said that it did not run the request. */
     public data class Shed(public val report: LoadReport?) : FlightEnd
@@ -71,8 +68,4 @@
  * @property running requests in its slots.
  * @property waiting requests in its queue.
  */
-public data class LoadReport(
-    public val running: Int,
-    public val waiting: Int,
-    public val slots: Int,
-)
+public data class LoadReport(public val running: Int, public val waiting: Int, public val slots: Int)
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ObjectMemory.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ObjectMemory.kt
@@ -25,7 +25,11 @@
 
     /** Takes over that an object that was sent [age] requests before was [known] to the target, or was not. */
     fun learn(age: Long, known: Boolean) {
-        if (known && age >= retention * NEAR_SHARE) retention = (retention + 1).coerceAtMost(LARGEST_RETENTION.toDouble())
+        if (known &&
+            age >= retention * NEAR_SHARE
+        ) {
+            retention = (retention + 1).coerceAtMost(LARGEST_RETENTION.toDouble())
+        }
         if (!known && age < retention) retention += (age - retention) * LEARNING_WEIGHT
         retention = retention.coerceAtLeast(SMALLEST_RETENTION)
     }
--- a/core/src/main/kotlin/org/anvilshed/core/placement/Placement.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/Placement.kt
@@ -10,11 +10,8 @@
      *
      * @property cold whether the target was cold, so that the send was taken from its allowance.
      */
-    public data class Send(
-        public val target: FleetTarget,
-        public val flight: Flight,
-        public val cold: Boolean,
-    ) : Placement
+    public data class Send(public val target: FleetTarget, public val flight: Flight, public val cold: Boolean) :
+        Placement
 
     /** The request waits for a free slot until [ServicePool.pump] decides about [ticket]. */
     public data class Wait(public val ticket: WaitingRequest) : Placement
@@ -24,10 +21,7 @@
      *
      * @property retryAfter expected time until requests of this class are served again.
      */
-    public data class Refuse(
-        public val reason: RefusalCause,
-        public val retryAfter: Duration,
-    ) : Placement
+    public data class Refuse(public val reason: RefusalCause, public val retryAfter: Duration) : Placement
 }
 
 /** Why a request was refused before it was sent to a target. */
--- a/core/src/main/kotlin/org/anvilshed/core/placement/RemoteObjects.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/RemoteObjects.kt
@@ -14,8 +14,7 @@
     private var adjustedAt: MonotonicTime? = null
 
     /** Whether the object with the hash [objectHash] is among those that are kept elsewhere. */
-    fun contains(objectHash: Int): Boolean =
-        Math.floorMod(objectHash * SPREAD_FACTOR, HASH_RANGE) < share * HASH_RANGE
+    fun contains(objectHash: Int): Boolean = Math.floorMod(objectHash * SPREAD_FACTOR, HASH_RANGE) < share * HASH_RANGE
 
     /** Adjusts the share at [now] to the [occupancy] of the own slots. */
     fun adjust(occupancy: Double, now: MonotonicTime) {
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
@@ -147,7 +147,9 @@
     private fun usableTargets(request: PlacementRequest, now: MonotonicTime): List<TargetLoad> {
         val eligible = loads.values.filter { load ->
             val target = load.target
-            !target.draining && target.zone !in evacuated && target.key !in request.excluded &&
+            !target.draining &&
+                target.zone !in evacuated &&
+                target.key !in request.excluded &&
                 (request.homeRegions.isEmpty() || settings.regions[target.zone] in request.homeRegions)
         }
         val healthy = eligible.filterNot { it.isSuspended(now) }
@@ -200,7 +202,12 @@
         return Choice(best, bestLatency, free, freeLatency)
     }
 
-    private fun isWorthLeaving(request: PlacementRequest, load: TargetLoad, latency: Duration, now: MonotonicTime): Boolean {
+    private fun isWorthLeaving(
+        request: PlacementRequest,
+        load: TargetLoad,
+        latency: Duration,
+        now: MonotonicTime,
+    ): Boolean {
         val inTime = now - request.arrivedAt + latency + CALLER_TRIP <= request.goal
         val occupied = load.load(now) / load.target.slots
         return occupied < (if (inTime) REMOTE_OCCUPANCY else LATE_REMOTE_OCCUPANCY)
@@ -212,7 +219,8 @@
         regionOf(load)?.let { shift.recordSent(it, now) }
         val found = load.load(now)
         val known = load.knows(request)
-        val expected = estimates.expected(request.requestClass, if (known) 1.0 else 0.0) * (if (cold) COLD_FACTOR else 1.0)
+        val expected =
+            estimates.expected(request.requestClass, if (known) 1.0 else 0.0) * (if (cold) COLD_FACTOR else 1.0)
         val slotShare = expected / (expected + tripTime(load.target.zone))
         val flight = Flight(load, request, now, expected, found, slotShare, known, load.objectAgeOrNull(request))
         load.recordSent(flight, now)
@@ -228,7 +236,12 @@
     }
 
     /** Expected time until the answer of [load]. */
-    private fun latency(request: PlacementRequest, load: TargetLoad, knownProbability: Double, now: MonotonicTime): Duration {
+    private fun latency(
+        request: PlacementRequest,
+        load: TargetLoad,
+        knownProbability: Double,
+        now: MonotonicTime,
+    ): Duration {
         val work = estimates.expected(request.requestClass, knownProbability)
         val factor = if (load.isCold(now)) COLD_FACTOR else load.slowness(now)
         val slots = load.target.slots
@@ -237,7 +250,12 @@
     }
 
     /** What a choice costs beside the time of the request itself. */
-    private fun surcharge(request: PlacementRequest, load: TargetLoad, knownProbability: Double, now: MonotonicTime): Duration {
+    private fun surcharge(
+        request: PlacementRequest,
+        load: TargetLoad,
+        knownProbability: Double,
+        now: MonotonicTime,
+    ): Duration {
         val work = estimates.expected(request.requestClass, knownProbability)
         val occupied = (load.load(now) / load.target.slots).coerceAtMost(1.0)
         val explore = load.needsExploration(now) && regionOf(load) == settings.region && load.failureShare < SOUND_SHARE
@@ -318,7 +336,8 @@
     private fun regionOf(load: TargetLoad): RegionName? = settings.regions[load.target.zone]
 
     /** Whether the own region lost a good part of its slots lately, so that its requests have to move at once. */
-    private fun lostSlots(now: MonotonicTime): Boolean = nearTargets().sumOf { it.target.slots } < slotsRemembered(now) * LOST_SLOTS_SHARE
+    private fun lostSlots(now: MonotonicTime): Boolean =
+        nearTargets().sumOf { it.target.slots } < slotsRemembered(now) * LOST_SLOTS_SHARE
 
     private fun slotsRemembered(now: MonotonicTime): Int {
         val present = nearTargets().sumOf { it.target.slots }
--- a/core/src/main/kotlin/org/anvilshed/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/TargetLoad.kt
@@ -3,7 +3,6 @@
 import org.anvilshed.core.MonotonicTime
 import org.anvilshed.core.fleet.FleetTarget
 import org.anvilshed.core.membership.rendezvousScore
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
--- a/core/src/test/kotlin/org/anvilshed/core/ingress/RouteTableTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/ingress/RouteTableTest.kt
@@ -22,7 +22,7 @@
 class RouteTableTest :
     FunSpec({
         val table = RouteTable(
-            listOf(route("one.example", "/a/"), route("one.example", "/a/b/"), route("two.example", "/"))
+            listOf(route("one.example", "/a/"), route("one.example", "/a/b/"), route("two.example", "/")),
         )
 
         test("the longest prefix that begins the path wins, so that a nested route is not served by the outer one") {
--- a/core/src/test/kotlin/org/anvilshed/core/placement/ColdAllowanceTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/ColdAllowanceTest.kt
@@ -15,7 +15,9 @@
                 val slack = 5.0
                 val names = List(members) { "vm-$it" }
                 val senders = ColdAllowance.senderCount(rate, overshoot, slack, members)
-                val allowances = names.filter { ColdAllowance.isSender("target", it, names, senders) }.map { ColdAllowance() }
+                val allowances = names.filter {
+                    ColdAllowance.isSender("target", it, names, senders)
+                }.map { ColdAllowance() }
                 allowances.size shouldBe senders
                 val sent = ArrayList<MonotonicTime>()
                 var now = MonotonicTime(0)
--- a/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
@@ -34,15 +34,16 @@
 )
 private val START = MonotonicTime(1_000_000_000_000)
 
-private fun target(name: String, zone: ZoneName = NEAR, slots: Int = 2, coldUntil: MonotonicTime = START - 60.seconds) = FleetTarget(
-    key = TargetKey(name, 1),
-    service = ServiceName("service"),
-    address = SocketAddress("127.0.0.1", 80),
-    zone = zone,
-    slots = slots,
-    draining = false,
-    coldUntil = coldUntil,
-)
+private fun target(name: String, zone: ZoneName = NEAR, slots: Int = 2, coldUntil: MonotonicTime = START - 60.seconds) =
+    FleetTarget(
+        key = TargetKey(name, 1),
+        service = ServiceName("service"),
+        address = SocketAddress("127.0.0.1", 80),
+        zone = zone,
+        slots = slots,
+        draining = false,
+        coldUntil = coldUntil,
+    )
 
 private fun request(
     now: MonotonicTime,
@@ -86,8 +87,14 @@
             listOf(0, 1, 2).forEach { pool.learn(it, 1.seconds) }
             val running = pool.offer(request(START, goal = 1.seconds), START).shouldBeInstanceOf<Placement.Send>()
             pool.offer(request(START, goal = 1.seconds), START).shouldBeInstanceOf<Placement.Send>()
-            val late = pool.offer(request(START, priority = 2, goal = 1.seconds, deadline = 3.seconds), START).shouldBeInstanceOf<Placement.Wait>()
-            val urgent = pool.offer(request(START, priority = 0, goal = 1.seconds, deadline = 3.seconds), START).shouldBeInstanceOf<Placement.Wait>()
+            val late = pool.offer(
+                request(START, priority = 2, goal = 1.seconds, deadline = 3.seconds),
+                START,
+            ).shouldBeInstanceOf<Placement.Wait>()
+            val urgent = pool.offer(
+                request(START, priority = 0, goal = 1.seconds, deadline = 3.seconds),
+                START,
+            ).shouldBeInstanceOf<Placement.Wait>()
             val end = START + 50.milliseconds
             pool.finish(running.flight, ANSWERED, end)
             val decided = pool.pump(end)
@@ -109,8 +116,13 @@
         test("a waiting request is refused when its time has passed, not held until the caller gives up") {
             val pool = pool(target("a", slots = 1))
             pool.learn(1, 900.milliseconds)
-            repeat(2) { pool.offer(request(START, goal = 900.milliseconds), START).shouldBeInstanceOf<Placement.Send>() }
-            val waiting = pool.offer(request(START, goal = 900.milliseconds), START).shouldBeInstanceOf<Placement.Wait>()
+            repeat(2) {
+                pool.offer(request(START, goal = 900.milliseconds), START).shouldBeInstanceOf<Placement.Send>()
+            }
+            val waiting = pool.offer(
+                request(START, goal = 900.milliseconds),
+                START,
+            ).shouldBeInstanceOf<Placement.Wait>()
             pool.pump(START + 20.milliseconds) shouldHaveSize 0
             val decided = pool.pump(START + 900.milliseconds)
             decided.single().first shouldBe waiting.ticket
@@ -120,7 +132,8 @@
         test("no request goes to a draining target or one in an evacuated zone") {
             val pool = pool(target("a"))
             pool.updateTargets(listOf(target("a").copy(draining = true)), emptySet(), START)
-            pool.offer(request(START), START).shouldBeInstanceOf<Placement.Refuse>().reason shouldBe RefusalCause.NO_TARGET
+            pool.offer(request(START), START).shouldBeInstanceOf<Placement.Refuse>().reason shouldBe
+                RefusalCause.NO_TARGET
             pool.mayReceive(target("a")) shouldBe false
             pool.updateTargets(listOf(target("a")), setOf(NEAR), START)
             pool.offer(request(START), START).shouldBeInstanceOf<Placement.Refuse>()
--- a/core/src/test/kotlin/org/anvilshed/core/placement/ShiftBandTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/ShiftBandTest.kt
@@ -35,7 +35,7 @@
                 val former = sent.filter { it.first > at - 4.seconds && it.first <= at - 2.seconds }
                 val change = abs(
                     latest.count { it.second == REMOTE }.toDouble() / latest.size -
-                        former.count { it.second == REMOTE }.toDouble() / former.size
+                        former.count { it.second == REMOTE }.toDouble() / former.size,
                 )
                 change shouldBeLessThanOrEqual 0.15
             }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -293,7 +293,11 @@
     private fun newLane(): ServiceLane {
         val placement = settings.placement
         val pool = ServicePool(settings.name.value, placement, shift, trips::of)
-        return ServiceLane(pool, RetryAllowance(placement.retryRatio, placement.retrySlack, placement.retryWindow), clock)
+        return ServiceLane(
+            pool,
+            RetryAllowance(placement.retryRatio, placement.retrySlack, placement.retryWindow),
+            clock,
+        )
     }
 
     private fun configListener() = object : StoreFeedListener {
@@ -328,8 +332,12 @@
                 val target = if (event.removed) null else read(event.changed, now)
                 if (target == null) directory.remove(event.changed.name, storeWasAway, now) else directory.put(target)
                 log.belief(
-                    "target-changed", "name" to event.changed.name, "removed" to event.removed,
-                    "draining" to target?.draining, "zone" to target?.zone?.value, "revision" to event.changed.revision,
+                    "target-changed",
+                    "name" to event.changed.name,
+                    "removed" to event.removed,
+                    "draining" to target?.draining,
+                    "zone" to target?.zone?.value,
+                    "revision" to event.changed.revision,
                 )
             }
             refreshTargets(now)
@@ -362,7 +370,8 @@
 
         private fun apply() {
             val now = clock()
-            val coldDuration = state.currentOrNull?.config?.services?.values?.maxOfOrNull { it.coldDuration } ?: 3.seconds
+            val coldDuration =
+                state.currentOrNull?.config?.services?.values?.maxOfOrNull { it.coldDuration } ?: 3.seconds
             directory.replaceEvacuations(zones.values.toSet(), coldDuration, now)
             log.belief("evacuations", "zones" to zones.values)
             refreshTargets(now)
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/TripTimes.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/TripTimes.kt
@@ -19,7 +19,8 @@
     fun observe(zone: ZoneName, duration: Duration) {
         val former = learned[zone]
         // A busy target or VM only makes a handshake longer, so the shortest ones show the way.
-        learned[zone] = if (former == null || duration < former) duration else former + (duration - former) * RISE_WEIGHT
+        learned[zone] =
+            if (former == null || duration < former) duration else former + (duration - former) * RISE_WEIGHT
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/WarmUp.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/WarmUp.kt
@@ -68,7 +68,9 @@
 
     private suspend fun request(client: io.vertx.core.http.HttpClient, front: HttpServer, number: Int) {
         val method = if (number % 2 == 0) HttpMethod.GET else HttpMethod.POST
-        val options = RequestOptions().setMethod(method).setHost(host).setPort(front.actualPort()).setURI("$PREFIX$number")
+        val options = RequestOptions().setMethod(
+            method,
+        ).setHost(host).setPort(front.actualPort()).setURI("$PREFIX$number")
             .putHeader(names.requestId, "warm-up-$number").putHeader(names.deadlineMillis, "5000")
             .putHeader(names.affinityKey, "${number % OBJECTS}")
         val request = client.request(options).coAwait()
@@ -83,7 +85,8 @@
 
     private suspend fun openFront(target: HttpServer): HttpServer {
         val zone = ZoneName("warm-up")
-        val placement = PlacementSettings(zone, mapOf(zone to RegionName("warm-up")), 0.0, 10.seconds, 0.0, 1.0, 1.0, 0.0)
+        val placement =
+            PlacementSettings(zone, mapOf(zone to RegionName("warm-up")), 0.0, 10.seconds, 0.0, 1.0, 1.0, 0.0)
         val pool = ServicePool("warm-up", placement, ShiftBand(0.0)) { 1.milliseconds }
         val address = SocketAddress(host, target.actualPort())
         val fleet = listOf(FleetTarget(TargetKey("warm-up", 0), service, address, zone, CONCURRENCY, false, clock()))
@@ -123,7 +126,12 @@
             homeRegions = emptySet(),
         )
         val policy = ServicePolicy(CONCURRENCY, 1.seconds, 1.0)
-        return IngressConfig(1, listOf(route), mapOf(service to policy), CallerLimits(65_536, 65_536, 5.seconds, 5.seconds))
+        return IngressConfig(
+            1,
+            listOf(route),
+            mapOf(service to policy),
+            CallerLimits(65_536, 65_536, 5.seconds, 5.seconds),
+        )
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerExchange.kt
@@ -6,7 +6,6 @@
 import org.anvilshed.gateway.DecisionLog
 import org.anvilshed.gateway.GatewaySettings
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Decides whom to tell what, and when, and what an announcement changes.
@@ -43,7 +42,9 @@
         }
         if (seeds) {
             val heard = live.mapTo(HashSet()) { it.control.host }
-            hosts += (candidates + settings.seeds.map { it.host } + membership.remembered(now).map { it.control.host }) - heard
+            hosts +=
+                (candidates + settings.seeds.map { it.host } + membership.remembered(now).map { it.control.host }) -
+                heard
             lastSeedAt = now
         }
         hosts.remove(settings.listen.control.host)
@@ -98,9 +99,9 @@
 
     private companion object {
         /** Shorter than the usual work, so that a send is known before its slot could be taken again. */
-        val NEAR_PERIOD = 60.milliseconds
-        val IDLE_NEAR_PERIOD = 250.milliseconds
-        val FAR_PERIOD = 250.milliseconds
+        val NEAR_PERIOD = 80.milliseconds
+        val IDLE_NEAR_PERIOD = 400.milliseconds
+        val FAR_PERIOD = 400.milliseconds
         val SEED_PERIOD = 500.milliseconds
         const val CANDIDATES_LIMIT = 256
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestDispatcher.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestDispatcher.kt
@@ -59,7 +59,8 @@
 ) {
     /** Serves [request] and returns its final answer. */
     suspend fun dispatch(request: DispatchedRequest): Reply {
-        val lane = lanes(request.service) ?: return Reply.NotRun(SERVICE_UNAVAILABLE, "no-target", UNKNOWN_SERVICE_RETRY)
+        val lane =
+            lanes(request.service) ?: return Reply.NotRun(SERVICE_UNAVAILABLE, "no-target", UNKNOWN_SERVICE_RETRY)
         lane.retries.recordRequest(clock())
         var failure: Reply? = null
         var connectFailures = 0
@@ -157,7 +158,8 @@
         }
         if (result == null) {
             connection.close()
-            return AttemptResult.Repeatable(Reply.Failed(GATEWAY_TIMEOUT, "target-silent"), "target-silent") to FlightEnd.Broken
+            return AttemptResult.Repeatable(Reply.Failed(GATEWAY_TIMEOUT, "target-silent"), "target-silent") to
+                FlightEnd.Broken
         }
         if (result !is ExchangeResult.Large) releaseOrClose(send, exchange, connection)
         return when (result) {
@@ -170,21 +172,39 @@
             is ExchangeResult.NotRun -> {
                 request.mayHaveRun = formerMayHaveRun
                 metrics.countTargetFailure("not-run")
-                val end = if (result.status == TargetExchange.MISDIRECTED) FlightEnd.Misdirected else FlightEnd.Shed(result.report)
+                val end = if (result.status ==
+                    TargetExchange.MISDIRECTED
+                ) {
+                    FlightEnd.Misdirected
+                } else {
+                    FlightEnd.Shed(result.report)
+                }
                 AttemptResult.Repeatable(afterNotRun(request), "not-run") to end
             }
 
             is ExchangeResult.Broken -> {
                 metrics.countTargetFailure("broken")
-                log.request("target-broken", "id" to request.target.id, "target" to send.target.key.name, "cause" to result.cause)
-                AttemptResult.Repeatable(Reply.Failed(BAD_GATEWAY, "target-broken"), "target-broken") to FlightEnd.Broken
+                log.request(
+                    "target-broken",
+                    "id" to request.target.id,
+                    "target" to send.target.key.name,
+                    "cause" to result.cause,
+                )
+                AttemptResult.Repeatable(Reply.Failed(BAD_GATEWAY, "target-broken"), "target-broken") to
+                    FlightEnd.Broken
             }
         }
     }
 
     /** A request that a target did not run may still have run at an earlier one. */
-    private fun afterNotRun(request: DispatchedRequest): Reply =
-        if (request.mayHaveRun) Reply.Failed(BAD_GATEWAY, "target-broken") else Reply.NotRun(SERVICE_UNAVAILABLE, "target-full", FULL_RETRY)
+    private fun afterNotRun(request: DispatchedRequest): Reply = if (request.mayHaveRun) {
+        Reply.Failed(
+            BAD_GATEWAY,
+            "target-broken",
+        )
+    } else {
+        Reply.NotRun(SERVICE_UNAVAILABLE, "target-full", FULL_RETRY)
+    }
 
     private fun completed(result: ExchangeResult.Complete): Pair<AttemptResult, FlightEnd> {
         val failed = result.status >= SERVER_ERROR
@@ -203,7 +223,8 @@
     ): ExchangeResult? {
         val patience = lane.pool.patience(send.flight)
         val left = request.placement.deadline - clock()
-        val canRepeat = request.placement.requestClass.idempotent && request.sends < request.maximumAttempts &&
+        val canRepeat = request.placement.requestClass.idempotent &&
+            request.sends < request.maximumAttempts &&
             left > patience + send.flight.expectedTime
         return if (canRepeat) withTimeoutOrNull(patience) { exchange.run() } else exchange.run()
     }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestHandler.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestHandler.kt
@@ -57,7 +57,10 @@
     private inner class CallerExchange(val request: HttpServerRequest, val arrivedAt: MonotonicTime) {
         val id: String? = request.getHeader(names.requestId)
         val active: ActiveConfig? = state.currentOrNull
-        val route: IngressRoute? = active?.routes?.findOrNull(request.getHeader("Host").orEmpty(), request.path().orEmpty())
+        val route: IngressRoute? = active?.routes?.findOrNull(
+            request.getHeader("Host").orEmpty(),
+            request.path().orEmpty(),
+        )
 
         // The body has to be read from the turn on in which the request arrived; the coroutine may start later.
         val body = readBody(request, active?.config?.callerLimits?.maximumBodyBytes ?: 0L)
@@ -70,7 +73,11 @@
         // A request that must not run twice and is at a target is left to end there.
         if (exchange.route?.idempotent == false && flight?.wasSent == true) return
         metrics.countReply("cancelled")
-        log.request("caller-left", "id" to exchange.id, "waited_ms" to (clock() - exchange.arrivedAt).inWholeMilliseconds)
+        log.request(
+            "caller-left",
+            "id" to exchange.id,
+            "waited_ms" to (clock() - exchange.arrivedAt).inWholeMilliseconds,
+        )
         job.cancel()
     }
 
@@ -115,9 +122,11 @@
         return withTimeoutOrNull(left) { dispatcher.dispatch(dispatched) } ?: timedOut(dispatched)
     }
 
-    private fun timedOut(request: DispatchedRequest): Reply =
-        if (request.mayHaveRun) Reply.Failed(GATEWAY_TIMEOUT, "target-late")
-        else Reply.NotRun(SERVICE_UNAVAILABLE, "no-slot-in-time", NO_CONFIG_RETRY)
+    private fun timedOut(request: DispatchedRequest): Reply = if (request.mayHaveRun) {
+        Reply.Failed(GATEWAY_TIMEOUT, "target-late")
+    } else {
+        Reply.NotRun(SERVICE_UNAVAILABLE, "no-slot-in-time", NO_CONFIG_RETRY)
+    }
 
     private suspend fun finish(exchange: CallerExchange, reply: Reply) {
         val response = exchange.request.response()
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/ObjectStore.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/ObjectStore.kt
@@ -24,29 +24,16 @@
  * @property revision store revision of its last change.
  * @property content what its writer stored, or `null` if it is not a JSON object.
  */
-public data class StoreObject(
-    public val name: String,
-    public val revision: Long,
-    public val content: JsonObject?,
-)
+public data class StoreObject(public val name: String, public val revision: Long, public val content: JsonObject?)
 
 /** Change of one object. */
-public data class StoreEvent(
-    public val changed: StoreObject,
-    public val removed: Boolean,
-)
+public data class StoreEvent(public val changed: StoreObject, public val removed: Boolean)
 
 /** All objects of a kind at a store revision. */
-public data class StoreListing(
-    public val objects: List<StoreObject>,
-    public val revision: Long,
-)
+public data class StoreListing(public val objects: List<StoreObject>, public val revision: Long)
 
 /** Changes of a kind up to a store revision. */
-public data class StoreChanges(
-    public val events: List<StoreEvent>,
-    public val revision: Long,
-)
+public data class StoreChanges(public val events: List<StoreEvent>, public val revision: Long)
 
 /** Outcome of a call to the store. */
 public sealed interface StoreResult<out T> {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
@@ -113,7 +113,10 @@
         val result = store.watch(kind, watchRevision, WATCH_WAIT)
         if (result !is StoreResult.Success) return result.withoutValue()
         val changes = result.value
-        val events = changes.events.filter { it.changed.revision > (objects[it.changed.name]?.revision ?: 0) || it.removed }
+        val events = changes.events.filter {
+            it.changed.revision > (objects[it.changed.name]?.revision ?: 0) ||
+                it.removed
+        }
         if (events.isNotEmpty()) {
             for (event in events) {
                 if (event.removed) objects.remove(event.changed.name) else objects[event.changed.name] = event.changed
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
@@ -26,7 +26,8 @@
     class Complete(val status: Int, val headers: MultiMap, val body: Buffer, val report: LoadReport?) : ExchangeResult
 
     /** The target's answer is too large to be held; its [response] is paused and has to be passed on. */
-    class Large(val response: HttpClientResponse, val head: Buffer, val ended: CompletableDeferred<Boolean>) : ExchangeResult
+    class Large(val response: HttpClientResponse, val head: Buffer, val ended: CompletableDeferred<Boolean>) :
+        ExchangeResult
 
     /** The target stated that it did not run the request. */
     class NotRun(val status: Int, val report: LoadReport?) : ExchangeResult
@@ -56,7 +57,13 @@
         val options = RequestOptions().setMethod(request.method).setURI(request.uri).setHeaders(request.headers)
         connection.connection.closeHandlerOnce { broken("connection closed") }
         connection.connection.request(options).onComplete { created ->
-            if (created.failed()) broken("no request on the connection: ${created.cause()}") else write(created.result())
+            if (created.failed()) {
+                broken(
+                    "no request on the connection: ${created.cause()}",
+                )
+            } else {
+                write(created.result())
+            }
         }
         return outcome.await()
     }
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRequestTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRequestTest.kt
@@ -10,7 +10,10 @@
 import java.net.Socket
 
 /** Runs [test] with a gateway whose targets answer as [answers] say. */
-private fun withTargets(vararg answers: (ReceivedRequest, Socket) -> Unit, test: (GatewayTestbed, List<ScriptedTarget>) -> Unit) {
+private fun withTargets(
+    vararg answers: (ReceivedRequest, Socket) -> Unit,
+    test: (GatewayTestbed, List<ScriptedTarget>) -> Unit,
+) {
     val targets = answers.map(::ScriptedTarget)
     GatewayTestbed().use { bed ->
         bed.config(1)
@@ -47,7 +50,9 @@
         }
 
         test("a request that must not run twice is not sent again after its connection broke") {
-            withTargets({ _, socket -> ScriptedTarget.reset(socket) }, { _, socket -> ScriptedTarget.reset(socket) }) { bed, targets ->
+            withTargets({ _, socket ->
+                ScriptedTarget.reset(socket)
+            }, { _, socket -> ScriptedTarget.reset(socket) }) { bed, targets ->
                 bed.call("/once/", method = "POST", body = "x").status shouldBe 502
                 targets.sumOf { it.received.size } shouldBe 1
             }
@@ -87,7 +92,10 @@
 
         test("the answer of another request is never passed on") {
             val foreign: (ReceivedRequest, Socket) -> Unit = { _, socket ->
-                ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\nwrong")
+                ScriptedTarget.write(
+                    socket,
+                    "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\nwrong",
+                )
             }
             withTargets(foreign) { bed, _ ->
                 bed.call("/once/", method = "POST", body = "x").status shouldBe 502
@@ -126,7 +134,10 @@
 
         test("an answer that breaks off before its stated length is not passed on as whole") {
             withTargets({ request, socket ->
-                ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nX-Id: ${request.id}\r\nContent-Length: 100\r\n\r\nhalf")
+                ScriptedTarget.write(
+                    socket,
+                    "HTTP/1.1 200 OK\r\nX-Id: ${request.id}\r\nContent-Length: 100\r\n\r\nhalf",
+                )
                 socket.close()
             }) { bed, _ -> bed.call("/once/", method = "POST", body = "x").status shouldBe 502 }
         }
@@ -157,7 +168,7 @@
                 val smuggled = "GET /safe/smuggled HTTP/1.1\r\nHost: test.example\r\nX-Id: id-2\r\n\r\n"
                 val answer = bed.raw(
                     "POST /safe/ HTTP/1.1\r\nHost: test.example\r\nX-Id: id-1\r\nContent-Length: ${smuggled.length}\r\n" +
-                        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n$smuggled"
+                        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n$smuggled",
                 )
                 answer.status shouldBe 400
                 targets.single().received.filter { "smuggled" in it.line } shouldHaveSize 0
@@ -184,7 +195,10 @@
             withTargets(respond) { bed, _ ->
                 bed.connect().use { socket ->
                     repeat(3) {
-                        ScriptedTarget.write(socket, "GET /safe/ HTTP/1.1\r\nHost: test.example\r\nX-Id: id-$it\r\n\r\n")
+                        ScriptedTarget.write(
+                            socket,
+                            "GET /safe/ HTTP/1.1\r\nHost: test.example\r\nX-Id: id-$it\r\n\r\n",
+                        )
                         bed.readAnswer(socket).headers["x-id"] shouldBe "id-$it"
                     }
                 }
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayStoreTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayStoreTest.kt
@@ -93,7 +93,13 @@
                 val silent = MemoryStore()
                 silent.set(StoreKind.CONFIG, "main", io.vertx.core.json.JsonObject().put("version", 1L))
                 silent.areWatchesSilent = true
-                GatewayTestbed(silent, "vm-2", listOf(first.settings.listen.control), "127.0.0.5", peerPort).use { second ->
+                GatewayTestbed(
+                    silent,
+                    "vm-2",
+                    listOf(first.settings.listen.control),
+                    "127.0.0.5",
+                    peerPort,
+                ).use { second ->
                     second.awaitReady()
                     first.config(2)
                     await { second.call("/new/").status == 200 }
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
@@ -107,7 +107,14 @@
         peerPort = peerPort,
         seeds = seeds,
         placement = PlacementSettings(
-            TEST_ZONE, mapOf(TEST_ZONE to RegionName("region")), 0.2, 10.seconds, 50.0, 1.5, 5.0, 0.15,
+            TEST_ZONE,
+            mapOf(TEST_ZONE to RegionName("region")),
+            0.2,
+            10.seconds,
+            50.0,
+            1.5,
+            5.0,
+            0.15,
         ),
         lookupTimeToLive = 200.milliseconds,
         drain = 2.seconds,
@@ -131,9 +138,17 @@
     fun awaitReady() = await { onEventLoop { gateway.isReady } }
 
     /** Sends one request on a connection of its own and reads its answer to the end. */
-    fun call(path: String, id: String = "id-1", method: String = "GET", body: String? = null, deadline: Int = 2_000): CallerAnswer {
+    fun call(
+        path: String,
+        id: String = "id-1",
+        method: String = "GET",
+        body: String? = null,
+        deadline: Int = 2_000,
+    ): CallerAnswer {
         val length = body?.let { "Content-Length: ${it.length}\r\n" }.orEmpty()
-        return raw("$method $path HTTP/1.1\r\nHost: test.example\r\nX-Id: $id\r\nX-Deadline: $deadline\r\n$length\r\n${body.orEmpty()}")
+        return raw(
+            "$method $path HTTP/1.1\r\nHost: test.example\r\nX-Id: $id\r\nX-Deadline: $deadline\r\n$length\r\n${body.orEmpty()}",
+        )
     }
 
     /** Writes [text] on a new connection and reads one answer. */
@@ -142,7 +157,10 @@
         readAnswer(socket)
     }
 
-    fun connect(): Socket = Socket(settings.listen.callers.host, settings.listen.callers.port).apply { soTimeout = 10_000 }
+    fun connect(): Socket = Socket(settings.listen.callers.host, settings.listen.callers.port).apply {
+        soTimeout =
+            10_000
+    }
 
     fun readAnswer(socket: Socket): CallerAnswer {
         val input = socket.getInputStream()
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/ScriptedTarget.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/ScriptedTarget.kt
@@ -7,11 +7,7 @@
 import kotlin.concurrent.thread
 
 /** Request as a target read it. */
-class ReceivedRequest(
-    val line: String,
-    val headers: Map<String, String>,
-    val body: String,
-) {
+class ReceivedRequest(val line: String, val headers: Map<String, String>, val body: String) {
     val id: String
         get() = headers.getValue("x-id")
 }
@@ -40,7 +36,9 @@
         while (true) {
             val lines = generateSequence { readLine(input) }.takeWhile { it.isNotEmpty() }.toList()
             if (lines.isEmpty()) return
-            val headers = lines.drop(1).associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
+            val headers = lines.drop(1).associate {
+                it.substringBefore(':').lowercase() to it.substringAfter(':').trim()
+            }
             val body = String(input.readNBytes(headers["content-length"]?.toInt() ?: 0))
             val request = ReceivedRequest(lines.first(), headers, body)
             received.add(request)
@@ -64,7 +62,13 @@
         private const val BACKLOG = 50
 
         /** Writes a whole answer to [request]. */
-        fun respond(socket: Socket, request: ReceivedRequest, status: String = "200 OK", body: String = "ok", extra: String = "") {
+        fun respond(
+            socket: Socket,
+            request: ReceivedRequest,
+            status: String = "200 OK",
+            body: String = "ok",
+            extra: String = "",
+        ) {
             val head = "HTTP/1.1 $status\r\nX-Id: ${request.id}\r\nX-Stamp: stamp\r\n$extra"
             write(socket, "${head}Content-Length: ${body.length}\r\n\r\n$body")
         }
