--- a/core/src/main/kotlin/org/anvilshed/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/TargetLoad.kt
@@ -149,27 +149,30 @@
         consecutiveFailures = 0
     }
 
-    private companion object {
+    companion object {
+        /** Targets that just started work about this many times as long. */
+        const val COLD_FACTOR = 2.0
+
         /** A report is of no use once most of the requests it counted have ended. */
-        val REPORT_LIFETIME = 250.milliseconds
+        private val REPORT_LIFETIME = 250.milliseconds
 
         /** A full target is asked again after about the time in which one of its slots becomes free. */
-        val FULL_PERIOD = 50.milliseconds
+        private val FULL_PERIOD = 50.milliseconds
 
         /** Requests this many times over their expected time count against the target's speed. */
-        const val OVERDUE_FACTOR = 2.0
-        const val FASTEST_FACTOR = 0.3
-        const val SLOWEST_FACTOR = 20.0
-        const val SPEED_WEIGHT = 0.2
-        const val FAILURE_WEIGHT = 0.1
+        private const val OVERDUE_FACTOR = 2.0
+        private const val FASTEST_FACTOR = 0.3
+        private const val SLOWEST_FACTOR = 20.0
+        private const val SPEED_WEIGHT = 0.2
+        private const val FAILURE_WEIGHT = 0.1
 
-        const val FAILURES_TO_SUSPEND = 3
-        val FIRST_SUSPENSION = 500.milliseconds
-        val LONGEST_SUSPENSION = 4.seconds
+        private const val FAILURES_TO_SUSPEND = 3
+        private val FIRST_SUSPENSION = 500.milliseconds
+        private val LONGEST_SUSPENSION = 4.seconds
 
         /** A target that was slow or failing gets a request after this time, so that it is used once it recovered. */
-        val EXPLORATION_PERIOD = 1.seconds
-        const val DOUBTFUL_SPEED = 1.5
-        const val DOUBTFUL_FAILURES = 0.1
+        private val EXPLORATION_PERIOD = 1.seconds
+        private const val DOUBTFUL_SPEED = 1.5
+        private const val DOUBTFUL_FAILURES = 0.1
     }
 }
--- a/core/src/main/kotlin/org/anvilshed/core/placement/WorkEstimates.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/WorkEstimates.kt
@@ -15,6 +15,10 @@
 
     private val estimates = HashMap<RequestClass, Estimate>()
 
+    /** Work of the requests that were answered lately, whatever their kind. */
+    var average: Duration = FIRST_AVERAGE
+        private set
+
     /** Returns the expected work if the target handled the object recently with the probability [knownProbability]. */
     fun expected(requestClass: RequestClass, knownProbability: Double): Duration {
         val estimate = estimateOf(requestClass)
@@ -29,6 +33,7 @@
 
     /** Takes over the work of one request, of which [known] tells whether the target knew its object. */
     fun observe(requestClass: RequestClass, known: Boolean, work: Duration) {
+        average += (work - average) * AVERAGE_WEIGHT
         val estimate = estimateOf(requestClass)
         if (known) {
             estimate.known += SAMPLE_WEIGHT * (milliseconds(work) - estimate.known)
@@ -47,6 +52,8 @@
 
     private companion object {
         const val SAMPLE_WEIGHT = 0.05
+        const val AVERAGE_WEIGHT = 0.02
+        val FIRST_AVERAGE = 150.milliseconds
         const val MICROSECONDS_PER_MILLISECOND = 1000.0
 
         /** Before the first answer the work is taken as this share of the goal: goals are set near the usual work. */
--- /dev/null
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/FleetFeeds.kt
@@ -0,0 +1,141 @@
+package org.anvilshed.gateway
+
+import org.anvilshed.core.MonotonicTime
+import org.anvilshed.core.ZoneName
+import org.anvilshed.core.fleet.FleetTarget
+import org.anvilshed.core.fleet.TargetDirectory
+import org.anvilshed.core.ingress.IngressConfig
+import org.anvilshed.gateway.store.ObjectStore
+import org.anvilshed.gateway.store.StoreEvent
+import org.anvilshed.gateway.store.StoreFeed
+import org.anvilshed.gateway.store.StoreFeedListener
+import org.anvilshed.gateway.store.StoreKind
+import org.anvilshed.gateway.store.StoreObject
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Reads objects of the store into the types of the gateway; each function returns `null` for what it can't read.
+ *
+ * @property target also gets the present time, to which the remaining cold time of a target is relative.
+ */
+public class StoreDecoders(
+    public val config: (StoreObject) -> IngressConfig?,
+    public val target: (StoreObject, MonotonicTime) -> FleetTarget?,
+    public val evacuatedZone: (StoreObject) -> ZoneName?,
+)
+
+/**
+ * Keeps the config in force and the known targets up to date from the store.
+ *
+ * @param configChanged called when another config came into force.
+ * @param targetsChanged called when targets or evacuations changed.
+ */
+internal class FleetFeeds(
+    store: ObjectStore,
+    private val decoders: StoreDecoders,
+    private val state: IngressState,
+    private val directory: TargetDirectory,
+    private val log: DecisionLog,
+    private val clock: Clock,
+    private val configChanged: () -> Unit,
+    private val targetsChanged: () -> Unit,
+) {
+    /** Feeds by the kind of objects that they follow. */
+    val byKind: Map<StoreKind, StoreFeed> = mapOf(
+        StoreKind.CONFIG to ConfigListener(),
+        StoreKind.TARGETS to TargetListener(),
+        StoreKind.EVACUATIONS to EvacuationListener(),
+    ).mapValues { (kind, listener) -> StoreFeed(kind, store, listener, log, clock) }
+
+    /** Whether targets were listed at least once. */
+    val areTargetsKnown: Boolean
+        get() = byKind.getValue(StoreKind.TARGETS).isKnown
+
+    /** Store revision of the last known change of each kind, in the order of [StoreKind]. */
+    fun revisions(): List<Long> = StoreKind.entries.map { byKind[it]?.changedRevision ?: -1 }
+
+    private inner class ConfigListener : StoreFeedListener {
+        override fun listed(objects: List<StoreObject>, storeWasAway: Boolean): Unit = objects.forEach(::read)
+
+        override fun changed(events: List<StoreEvent>, storeWasAway: Boolean): Unit =
+            events.filterNot { it.removed }.forEach { read(it.changed) }
+
+        private fun read(stored: StoreObject) {
+            val config = decoders.config(stored)
+            if (config == null) {
+                log.warning("config-unreadable", "object" to stored.name, "revision" to stored.revision)
+            } else if (state.replace(config)) {
+                log.belief("config-in-force", "version" to config.version, "routes" to config.routes.size)
+                configChanged()
+            }
+        }
+    }
+
+    private inner class TargetListener : StoreFeedListener {
+        override fun listed(objects: List<StoreObject>, storeWasAway: Boolean) {
+            val now = clock()
+            directory.replaceAll(objects.mapNotNull { readOrNull(it, now) }, storeWasAway, now)
+            log.belief("targets-listed", "count" to objects.size, "store_was_away" to storeWasAway)
+            targetsChanged()
+        }
+
+        override fun changed(events: List<StoreEvent>, storeWasAway: Boolean) {
+            val now = clock()
+            for (event in events) {
+                val target = if (event.removed) null else readOrNull(event.changed, now)
+                if (target == null) {
+                    directory.remove(event.changed.name, storeWasAway, now)
+                } else {
+                    directory.put(target)
+                }
+                log.belief(
+                    "target-changed",
+                    "name" to event.changed.name,
+                    "removed" to event.removed,
+                    "draining" to target?.draining,
+                    "zone" to target?.zone?.value,
+                    "revision" to event.changed.revision,
+                )
+            }
+            targetsChanged()
+        }
+
+        private fun readOrNull(stored: StoreObject, now: MonotonicTime): FleetTarget? {
+            val target = decoders.target(stored, now)
+            if (target == null) log.warning("target-unreadable", "object" to stored.name, "revision" to stored.revision)
+            return target
+        }
+    }
+
+    private inner class EvacuationListener : StoreFeedListener {
+        private val zones = HashMap<String, ZoneName>()
+
+        override fun listed(objects: List<StoreObject>, storeWasAway: Boolean) {
+            zones.clear()
+            objects.forEach(::read)
+            apply()
+        }
+
+        override fun changed(events: List<StoreEvent>, storeWasAway: Boolean) {
+            for (event in events) if (event.removed) zones.remove(event.changed.name) else read(event.changed)
+            apply()
+        }
+
+        private fun read(stored: StoreObject) {
+            decoders.evacuatedZone(stored)?.let { zones[stored.name] = it }
+        }
+
+        private fun apply() {
+            val services = state.currentOrNull?.config?.services?.values.orEmpty()
+            val coldDuration = services.maxOfOrNull { it.coldDuration } ?: DEFAULT_COLD_DURATION
+            directory.replaceEvacuations(zones.values.toSet(), coldDuration, clock())
+            log.belief("evacuations", "zones" to zones.values)
+            targetsChanged()
+        }
+    }
+
+    private companion object {
+        /** Used if an evacuation ends before a config is known. */
+        val DEFAULT_COLD_DURATION = 5.seconds
+    }
+}
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -6,7 +6,6 @@
 import io.vertx.core.http.HttpServerOptions
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.PoolOptions
-import io.vertx.core.json.JsonObject
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -18,43 +17,26 @@
 import org.anvilshed.core.ZoneName
 import org.anvilshed.core.fleet.FleetTarget
 import org.anvilshed.core.fleet.TargetDirectory
-import org.anvilshed.core.ingress.IngressConfig
 import org.anvilshed.core.placement.RetryAllowance
 import org.anvilshed.core.placement.ServicePool
 import org.anvilshed.core.placement.ShiftBand
 import org.anvilshed.gateway.peers.Announcement
+import org.anvilshed.gateway.peers.EntryVmRegistration
+import org.anvilshed.gateway.peers.FeedCatchUp
 import org.anvilshed.gateway.peers.Membership
 import org.anvilshed.gateway.peers.PeerChange
 import org.anvilshed.gateway.peers.PeerExchange
 import org.anvilshed.gateway.peers.PeerSnapshots
 import org.anvilshed.gateway.peers.PeerSocket
-import org.anvilshed.gateway.peers.PeerVm
 import org.anvilshed.gateway.requests.RequestDispatcher
 import org.anvilshed.gateway.requests.RequestHandler
 import org.anvilshed.gateway.requests.ServiceLane
 import org.anvilshed.gateway.store.ObjectStore
-import org.anvilshed.gateway.store.StoreEvent
 import org.anvilshed.gateway.store.StoreFeed
-import org.anvilshed.gateway.store.StoreFeedListener
-import org.anvilshed.gateway.store.StoreKind
-import org.anvilshed.gateway.store.StoreObject
-import org.anvilshed.gateway.store.StoreResult
 import org.anvilshed.gateway.targets.TargetConnections
 import kotlin.math.roundToInt
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
-
-/**
- * Reads objects of the store into the types of the gateway; each function returns `null` for what it can't read.
- *
- * @property target also gets the present time, to which the remaining cold time of a target is relative.
- */
-public class StoreDecoders(
-    public val config: (StoreObject) -> IngressConfig?,
-    public val target: (StoreObject, MonotonicTime) -> FleetTarget?,
-    public val evacuatedZone: (StoreObject) -> ZoneName?,
-)
 
 /** Process of one entry VM: serves callers, follows the store and talks to the other entry VMs. */
 public class Gateway(
@@ -62,8 +44,8 @@
     private val scope: CoroutineScope,
     private val settings: GatewaySettings,
     names: RequestHeaders,
-    private val store: ObjectStore,
-    private val decoders: StoreDecoders,
+    store: ObjectStore,
+    decoders: StoreDecoders,
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
     private val clock: Clock = systemClock,
@@ -75,17 +57,18 @@
     private val trips = TripTimes(settings.placement)
     private val lanes = HashMap<ServiceName, ServiceLane>()
     private val callerConnections = CallerConnections(clock)
-    private val startedAtMillis = System.currentTimeMillis()
-    private var targetsKnown = false
     private var leaving = false
-    private var knownEntryVmHosts = emptyList<SocketAddress>()
-
-    private val feeds: Map<StoreKind, StoreFeed> = mapOf(
-        StoreKind.CONFIG to configListener(),
-        StoreKind.TARGETS to targetListener(),
-        StoreKind.EVACUATIONS to evacuationListener(),
-    ).mapValues { (kind, listener) -> StoreFeed(kind, store, listener, log, clock) }
 
+    private val feeds = FleetFeeds(
+        store = store,
+        decoders = decoders,
+        state = state,
+        directory = directory,
+        log = log,
+        clock = clock,
+        configChanged = { refreshPolicies(clock()) },
+        targetsChanged = { refreshTargets(clock()) },
+    )
     private val connections = TargetConnections(
         vertx.createHttpClient(
             HttpClientOptions().setKeepAlive(true).setPipelining(false).setDecompressionSupported(false)
@@ -107,22 +90,23 @@
         connected = { target, duration -> if (duration > Duration.ZERO) trips.observe(target.zone, duration) },
     )
     private val handler = RequestHandler(scope, state, dispatcher, names, log, metrics, clock) { leaving }
-    private val snapshots = PeerSnapshots(vertx, feeds)
+    private val snapshots = PeerSnapshots(vertx, feeds.byKind)
     private val socket = PeerSocket(vertx, SocketAddress(settings.listen.control.host, settings.peerPort), log, ::heard)
-    private val peers = PeerExchange(settings, membership, startedAtMillis, log, socket::send)
-    private var callerServer: HttpServer? = null
+    private val peers = PeerExchange(settings, membership, System.currentTimeMillis(), log, socket::send)
+    private val catchUp = FeedCatchUp(scope, feeds.byKind, snapshots, log)
+    private val registration = EntryVmRegistration(settings, store, membership, peers, log)
 
     /** Whether callers should be sent here: a config and targets are known and the VM is not leaving. */
     public val isReady: Boolean
-        get() = !leaving && state.currentOrNull != null && targetsKnown
+        get() = !leaving && state.currentOrNull != null && feeds.areTargetsKnown
 
     /** Opens all ports and starts to follow the store. */
     public suspend fun start() {
         socket.open()
         listen(settings.listen.control) { snapshots.handle(it) }
-        callerServer = listen(settings.listen.callers, callerOptions()) { serveCaller(it) }
-        for (feed in feeds.values) scope.launch { feed.run() }
-        scope.launch { register() }
+        listen(settings.listen.callers, callerOptions()) { serveCaller(it) }
+        for (feed in feeds.byKind.values) scope.launch { feed.run() }
+        scope.launch { registration.run() }
         scope.launch { tick() }
         log.belief("started", "vm" to settings.name.value, "zone" to settings.placement.zone.value)
     }
@@ -156,7 +140,7 @@
         leaving = true
         log.belief("leaving", "active_requests" to handler.activeCount, "connections" to callerConnections.count)
         announceNow()
-        scope.launch { store.delete(StoreKind.ENTRY_VMS, settings.name.value) }
+        scope.launch { registration.withdraw() }
         while (clock() < servesUntil && clock() < stopAt) delay(STOP_POLL)
         while (handler.activeCount > 0 && clock() < stopAt) delay(STOP_POLL)
         log.belief("stopped", "unfinished_requests" to handler.activeCount)
@@ -211,11 +195,9 @@
         metrics.setSizes(lanes.values.sumOf { it.pool.queueLength }, membership.live(now).size + 1)
     }
 
-    private fun announce(now: MonotonicTime) = peers.announce(isReady, revisions(), occupiedSlots(), now)
-
-    private fun announceNow() = peers.announceNow(isReady, revisions(), occupiedSlots(), clock())
+    private fun announce(now: MonotonicTime) = peers.announce(isReady, feeds.revisions(), occupiedSlots(), now)
 
-    private fun revisions(): List<Long> = StoreKind.entries.map { feeds[it]?.changedRevision ?: -1 }
+    private fun announceNow() = peers.announceNow(isReady, feeds.revisions(), occupiedSlots(), clock())
 
     private fun occupiedSlots(): Map<Int, Int> {
         val result = HashMap<Int, Int>()
@@ -233,29 +215,7 @@
         if (change == PeerChange.IGNORED) return
         refreshAnnounced(now)
         if (change == PeerChange.APPEARED) refreshPolicies(now)
-        val peer = membership.live(now).firstOrNull { it.name.value == announcement.name } ?: return
-        for ((index, revision) in announcement.revisions.withIndex()) {
-            val feed = feeds[StoreKind.entries.getOrNull(index)] ?: continue
-            if (revision > feed.changedRevision) catchUpLater(feed, peer, revision)
-        }
-    }
-
-    private val catchingUp = HashSet<StoreKind>()
-
-    /** Asks a peer for a newer copy, unless this VM's own watch brings it meanwhile. */
-    private fun catchUpLater(feed: StoreFeed, peer: PeerVm, revision: Long) {
-        if (!catchingUp.add(feed.kind)) return
-        scope.launch {
-            try {
-                if (feed.isKnown) delay(CATCH_UP_DELAY)
-                if (feed.changedRevision < revision) {
-                    val listing = snapshots.fetchOrNull(peer.control, feed.kind)
-                    if (listing != null) feed.adopt(listing) else log.belief("peer-copy-missing", "peer" to peer.name)
-                }
-            } finally {
-                catchingUp.remove(feed.kind)
-            }
-        }
+        membership.live(now).firstOrNull { it.name.value == announcement.name }?.let(catchUp::compare)
     }
 
     private fun refreshAnnounced(now: MonotonicTime) {
@@ -300,111 +260,9 @@
         )
     }
 
-    private fun configListener() = object : StoreFeedListener {
-        override fun listed(objects: List<StoreObject>, storeWasAway: Boolean) = objects.forEach(::read)
-
-        override fun changed(events: List<StoreEvent>, storeWasAway: Boolean) =
-            events.filterNot { it.removed }.forEach { read(it.changed) }
-
-        private fun read(stored: StoreObject) {
-            val config = decoders.config(stored)
-            if (config == null) {
-                log.warning("config-unreadable", "object" to stored.name, "revision" to stored.revision)
-            } else if (state.replace(config)) {
-                log.belief("config-in-force", "version" to config.version, "routes" to config.routes.size)
-                refreshPolicies(clock())
-            }
-        }
-    }
-
-    private fun targetListener() = object : StoreFeedListener {
-        override fun listed(objects: List<StoreObject>, storeWasAway: Boolean) {
-            val now = clock()
-            directory.replaceAll(objects.mapNotNull { read(it, now) }, storeWasAway, now)
-            targetsKnown = true
-            log.belief("targets-listed", "count" to objects.size, "store_was_away" to storeWasAway)
-            refreshTargets(now)
-        }
-
-        override fun changed(events: List<StoreEvent>, storeWasAway: Boolean) {
-            val now = clock()
-            for (event in events) {
-                val target = if (event.removed) null else read(event.changed, now)
-                if (target == null) directory.remove(event.changed.name, storeWasAway, now) else directory.put(target)
-                log.belief(
-                    "target-changed",
-                    "name" to event.changed.name,
-                    "removed" to event.removed,
-                    "draining" to target?.draining,
-                    "zone" to target?.zone?.value,
-                    "revision" to event.changed.revision,
-                )
-            }
-            refreshTargets(now)
-        }
-
-        private fun read(stored: StoreObject, now: MonotonicTime): FleetTarget? {
-            val target = decoders.target(stored, now)
-            if (target == null) log.warning("target-unreadable", "object" to stored.name, "revision" to stored.revision)
-            return target
-        }
-    }
-
-    private fun evacuationListener() = object : StoreFeedListener {
-        private val zones = HashMap<String, ZoneName>()
-
-        override fun listed(objects: List<StoreObject>, storeWasAway: Boolean) {
-            zones.clear()
-            objects.forEach(::read)
-            apply()
-        }
-
-        override fun changed(events: List<StoreEvent>, storeWasAway: Boolean) {
-            for (event in events) if (event.removed) zones.remove(event.changed.name) else read(event.changed)
-            apply()
-        }
-
-        private fun read(stored: StoreObject) {
-            decoders.evacuatedZone(stored)?.let { zones[stored.name] = it }
-        }
-
-        private fun apply() {
-            val now = clock()
-            val coldDuration =
-                state.currentOrNull?.config?.services?.values?.maxOfOrNull { it.coldDuration } ?: 3.seconds
-            directory.replaceEvacuations(zones.values.toSet(), coldDuration, now)
-            log.belief("evacuations", "zones" to zones.values)
-            refreshTargets(now)
-        }
-    }
-
-    /** Registers this VM in the store, and reads now and then who else is registered. */
-    private suspend fun register() {
-        val content = JsonObject().put("control", settings.listen.control.toString())
-            .put("zone", settings.placement.zone.value)
-        var registered = false
-        while (true) {
-            if (!registered && !leaving) {
-                registered = store.put(StoreKind.ENTRY_VMS, settings.name.value, content) is StoreResult.Success
-            }
-            val listing = store.list(StoreKind.ENTRY_VMS, staleAllowed = true)
-            if (listing is StoreResult.Success) {
-                membership.replaceRegistered(listing.value.objects.map { it.name })
-                knownEntryVmHosts = listing.value.objects.mapNotNull { entry ->
-                    entry.content?.getValue("control")?.let { SocketAddress.parseOrNull(it.toString()) }
-                }
-                peers.addCandidates(knownEntryVmHosts)
-            }
-            delay(if (registered) REGISTRATION_PERIOD else REGISTRATION_RETRY)
-        }
-    }
-
     private companion object {
         val TICK = 20.milliseconds
         val SLOW_TICK = 250.milliseconds
-
-        /** Longer than a feed pauses between two watches, so that a peer is asked only if the watch is silent. */
-        val CATCH_UP_DELAY = 500.milliseconds
         val STOP_POLL = 20.milliseconds
 
         /** The process has to be gone before the platform kills it. */
@@ -412,8 +270,6 @@
 
         /** Callers may be on their way with an answer that was given just before. */
         val LEAVING_EXTRA = 500.milliseconds
-        val REGISTRATION_PERIOD = 10.seconds
-        val REGISTRATION_RETRY = 1.seconds
         const val LOOKUP_LIMIT = 64
         const val LARGEST_HEADER_BYTES = 65_536
         const val ACCEPT_BACKLOG = 1024
