--- a/core/src/main/kotlin/org/anvilshed/core/placement/PlacementRequest.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/PlacementRequest.kt
@@ -8,7 +8,7 @@
 /**
  * Request that asks for a target.
  *
- * @property arrivedAt when the caller's request was read.
+ * @property startedAt when the caller started; with its first attempt, if this is a later one.
  * @property deadline when the caller or the route gives up on it.
  * @property affinityKey object that the request concerns, if targets work faster on objects that they handled recently.
  * @property homeRegions regions that may serve it; empty if all may.
@@ -16,7 +16,7 @@
  */
 public data class PlacementRequest(
     public val requestClass: RequestClass,
-    public val arrivedAt: MonotonicTime,
+    public val startedAt: MonotonicTime,
     public val deadline: MonotonicTime,
     public val affinityKey: String?,
     public val homeRegions: Set<RegionName>,
@@ -27,7 +27,7 @@
 
     internal val objectHash: Int = objectKey?.hashCode() ?: 0
 
-    /** Time after the arrival within which the answer is wanted. */
+    /** Time after the start within which the answer is wanted. */
     val goal: Duration
-        get() = requestClass.latencyGoal ?: (deadline - arrivedAt)
+        get() = requestClass.latencyGoal ?: (deadline - startedAt)
 }
--- a/core/src/main/kotlin/org/anvilshed/core/placement/RegionCapacity.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/RegionCapacity.kt
@@ -12,7 +12,10 @@
  *
  * @param loads all targets of the service.
  */
-internal class RegionCapacity(private val settings: PlacementSettings, private val loads: () -> Collection<TargetLoad>) {
+internal class RegionCapacity(
+    private val settings: PlacementSettings,
+    private val loads: () -> Collection<TargetLoad>,
+) {
     private var mostSlots = 0
     private var mostSlotsAt = MonotonicTime(0)
 
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
@@ -74,7 +74,13 @@
         preference.adjust(now)
         val choice = selector.choose(request, usable, now)
         val free = choice.free
-        return if (free != null && free === choice.best) send(request, free, now) else queueOrRefuse(request, choice, now)
+        return if (free != null &&
+            free === choice.best
+        ) {
+            send(request, free, now)
+        } else {
+            queueOrRefuse(request, choice, now)
+        }
     }
 
     /** Removes a request whose caller left; returns whether it was still waiting. */
@@ -117,7 +123,7 @@
         val free = choice.free?.takeIf { isDue || it === choice.best }
         if (free != null && ticket.request.deadline - now > choice.freeLatency) return send(ticket.request, free, now)
         if (!isDue) return null
-        return Placement.Refuse(RefusalCause.OVERLOADED, queueWait(now) + MINIMUM_RETRY)
+        return Placement.Refuse(RefusalCause.OVERLOADED, queueWait(ticket.request, now) + MINIMUM_RETRY)
     }
 
     /** Learns from the [work] that a request took; returns it relative to what it should have been. */
@@ -165,26 +171,30 @@
     }
 
     private fun queueOrRefuse(request: PlacementRequest, choice: TargetChoice, now: MonotonicTime): Placement {
-        val wait = queueWait(now)
+        val wait = queueWait(request, now)
         val latency = (choice.bestLatency + wait).coerceAtMost(LONGEST_ESTIMATE)
         val left = request.deadline - now
         if (left < latency) return Placement.Refuse(RefusalCause.DEADLINE, wait + MINIMUM_RETRY)
-        val untilGoal = request.goal - (now - request.arrivedAt) - TargetSelector.CALLER_TRIP - latency
-        val affordable = if (untilGoal > ZERO) untilGoal + wait else request.goal * LATE_WAIT_SHARE
+        val untilGoal = request.goal - (now - request.startedAt) - TargetSelector.CALLER_TRIP - latency
+        val affordable = if (untilGoal > ZERO) untilGoal + wait else (left - latency) * LATE_WAIT_SHARE
         if (wait > affordable) return Placement.Refuse(RefusalCause.OVERLOADED, wait - affordable + MINIMUM_RETRY)
         val ticket = WaitingRequest(request, now + affordable.coerceAtMost(left - latency), nextSequence++)
         waiting.add(ticket)
         return Placement.Wait(ticket)
     }
 
-    private fun queueWait(now: MonotonicTime): Duration = capacity.queueWait(waiting.size, estimates.average, now)
+    /** Time until those that go before [request] are served. */
+    private fun queueWait(request: PlacementRequest, now: MonotonicTime): Duration {
+        val ahead = waiting.count { it.request.requestClass.priority <= request.requestClass.priority }
+        return capacity.queueWait(ahead, estimates.average, now)
+    }
 
     private companion object {
         /** An object that was sent this few requests before is known whatever a target keeps. */
         const val SURELY_KNOWN_AGE = 2L
         const val SLOW_FACTOR = 1.7
 
-        /** Share of the goal that a request may wait if it can't be answered in time. */
+        /** Share of what is left that a request may wait if it can't be answered in time. */
         const val LATE_WAIT_SHARE = 0.25
 
         /** Waiting requests for which a target is sought each time; the queue's end is only checked for expiry. */
--- a/core/src/main/kotlin/org/anvilshed/core/placement/TargetSelector.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/TargetSelector.kt
@@ -71,14 +71,19 @@
         latency: Duration,
         now: MonotonicTime,
     ): Boolean {
-        val inTime = now - request.arrivedAt + latency + CALLER_TRIP <= request.goal
+        val inTime = now - request.startedAt + latency + CALLER_TRIP <= request.goal
         val occupied = load.load(now) / load.target.slots
         return occupied < (if (inTime) REMOTE_OCCUPANCY else LATE_REMOTE_OCCUPANCY)
     }
 
     private fun mayUse(load: TargetLoad, now: MonotonicTime): Boolean {
         val region = capacity.regionOf(load)
-        if (region != null && capacity.isRemote(load) && !shift.allows(region, capacity.lostSlots(now), now)) return false
+        if (region != null &&
+            capacity.isRemote(load) &&
+            !shift.allows(region, capacity.lostSlots(now), now)
+        ) {
+            return false
+        }
         return !load.isCold(now) || coldLimit.allows(load, now)
     }
 
--- a/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
@@ -53,7 +53,7 @@
     key: String? = null,
 ) = PlacementRequest(
     requestClass = RequestClass(idempotent = true, priority = priority, latencyGoal = goal),
-    arrivedAt = now,
+    startedAt = now,
     deadline = now + deadline,
     affinityKey = key,
     homeRegions = emptySet(),
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -32,7 +32,6 @@
 import org.anvilshed.gateway.requests.RequestHandler
 import org.anvilshed.gateway.requests.ServiceLane
 import org.anvilshed.gateway.store.ObjectStore
-import org.anvilshed.gateway.store.StoreFeed
 import org.anvilshed.gateway.targets.TargetConnections
 import kotlin.math.roundToInt
 import kotlin.time.Duration
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestHandler.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestHandler.kt
@@ -11,6 +11,7 @@
 import org.anvilshed.core.ingress.IngressRoute
 import org.anvilshed.core.placement.PlacementRequest
 import org.anvilshed.core.placement.RequestClass
+import org.anvilshed.core.placement.UsualDeadline
 import org.anvilshed.gateway.ActiveConfig
 import org.anvilshed.gateway.Clock
 import org.anvilshed.gateway.DecisionLog
@@ -38,6 +39,8 @@
     private val clock: Clock,
     private val isLeaving: () -> Boolean,
 ) {
+    private val usualDeadlines = HashMap<RequestClass, UsualDeadline>()
+
     /** Requests whose answers are not complete. */
     var activeCount = 0
         private set
@@ -108,7 +111,7 @@
         val dispatched = DispatchedRequest(
             placement = PlacementRequest(
                 requestClass = RequestClass(route),
-                arrivedAt = exchange.arrivedAt,
+                startedAt = exchange.arrivedAt - startedBefore(RequestClass(route), callerMillis),
                 deadline = exchange.arrivedAt + patience,
                 affinityKey = if (route.sticky) request.getHeader(names.affinityKey) else null,
                 homeRegions = route.homeRegions,
@@ -122,6 +125,11 @@
         return withTimeoutOrNull(left) { dispatcher.dispatch(dispatched) } ?: timedOut(dispatched)
     }
 
+    private fun startedBefore(requestClass: RequestClass, callerMillis: Long?): Duration {
+        if (callerMillis == null) return Duration.ZERO
+        return usualDeadlines.getOrPut(requestClass) { UsualDeadline() }.observe(callerMillis.milliseconds)
+    }
+
     private fun timedOut(request: DispatchedRequest): Reply = if (request.mayHaveRun) {
         Reply.Failed(GATEWAY_TIMEOUT, "target-late")
     } else {
