--- a/gateway/src/main/kotlin/org/anvilshed/gateway/CallerConnections.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/CallerConnections.kt
@@ -35,7 +35,7 @@
         }
     }
 
-    /** Closes the connections that have had no request, or an incomplete head of one, for longer than [limits] allow. */
+    /** Closes the connections that have idled, or held an incomplete head, for longer than [limits] allow. */
     fun closeStalled(limits: CallerLimits, now: MonotonicTime) {
         val stalled = usages.filterValues { usage ->
             val headSince = usage.guard.incompleteSince
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/GatewayMetrics.kt
@@ -19,9 +19,12 @@
         .help("Requests sent once more by reason.").labelNames("reason").register(registry)
     private val targetFailures = Counter.builder().name("anvilshed_target_failures_total")
         .help("Sends without a usable answer by reason.").labelNames("reason").register(registry)
+
+    @Suppress("SpreadOperator") // The library takes the bounds as variable arguments alone.
     private val latency = Histogram.builder().name("anvilshed_reply_seconds")
         .help("Time from a caller's request to its final answer.").classicOnly()
         .classicUpperBounds(*LATENCY_BOUNDS).register(registry)
+
     private val queued = Gauge.builder().name("anvilshed_queued_requests")
         .help("Requests that wait for a slot.").register(registry)
     private val members = Gauge.builder().name("anvilshed_live_entry_vms")
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestDispatcher.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestDispatcher.kt
@@ -68,26 +68,34 @@
             val placement = place(lane, request)
             if (placement is Placement.Refuse) return failure ?: refuse(placement)
             val send = placement as Placement.Send
-            val attempt = attempt(lane, request, send)
-            if (attempt is AttemptResult.Final) return attempt.reply
-            if (attempt is AttemptResult.NotSent) {
-                if (++connectFailures >= CONNECT_FAILURES_LIMIT) return failure ?: notRun("target-unreachable")
-                exclude(request, send)
-                continue
-            }
-            failure = (attempt as AttemptResult.Repeatable).reply
-            if (request.sends >= request.maximumAttempts) return failure
-            if (request.mayHaveRun && !request.placement.requestClass.idempotent) return failure
-            if (!lane.retries.tryRepeat(members(), clock())) {
-                metrics.countRetry("budget-exhausted")
-                return failure
+            when (val attempt = attempt(lane, request, send)) {
+                is AttemptResult.Final -> return attempt.reply
+
+                is AttemptResult.Repeatable -> {
+                    if (!mayRepeat(lane, request, attempt.reason)) return attempt.reply
+                    failure = attempt.reply
+                }
+
+                AttemptResult.NotSent ->
+                    if (++connectFailures >= CONNECT_FAILURES_LIMIT) return failure ?: notRun("target-unreachable")
             }
-            metrics.countRetry(attempt.reason)
-            log.request("retry", "id" to request.target.id, "target" to request.lastTarget, "reason" to attempt.reason)
             exclude(request, send)
         }
     }
 
+    /** Whether [request] may be sent to one more target after a failure; if so, takes the repeat from the budget. */
+    private fun mayRepeat(lane: ServiceLane, request: DispatchedRequest, reason: String): Boolean {
+        if (request.sends >= request.maximumAttempts) return false
+        if (request.mayHaveRun && !request.placement.requestClass.idempotent) return false
+        if (!lane.retries.tryRepeat(members(), clock())) {
+            metrics.countRetry("budget-exhausted")
+            return false
+        }
+        metrics.countRetry(reason)
+        log.request("retry", "id" to request.target.id, "target" to request.lastTarget, "reason" to reason)
+        return true
+    }
+
     private fun exclude(request: DispatchedRequest, send: Placement.Send) {
         request.placement = request.placement.copy(excluded = request.placement.excluded + send.target.key)
     }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestHandler.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestHandler.kt
@@ -90,44 +90,73 @@
     }
 
     private suspend fun decide(exchange: CallerExchange): Reply {
-        val request = exchange.request
         val active = exchange.active ?: return Reply.NotRun(SERVICE_UNAVAILABLE, "no-config", NO_CONFIG_RETRY)
         val route = exchange.route ?: return Reply.Failed(NOT_FOUND, "no-route")
-        val id = exchange.id ?: return Reply.Failed(BAD_REQUEST, "no-request-id")
-        if (headerBytes(request) > active.config.callerLimits.maximumHeaderBytes) {
-            return Reply.Failed(HEADERS_TOO_LARGE, "headers-too-large")
-        }
-        val deadlineText: String? = request.getHeader(names.deadlineMillis)
-        val callerMillis = deadlineText?.toLongOrNull()
-        if (deadlineText != null && (callerMillis == null || callerMillis < 0)) {
-            return Reply.Failed(BAD_REQUEST, "bad-deadline")
-        }
-        val patience = minOf(callerMillis?.milliseconds ?: route.timeout, route.timeout)
+        headFaultOrNull(exchange, active)?.let { return it }
+        val callerLimit = exchange.request.getHeader(names.deadlineMillis)?.toLong()?.milliseconds
+        val patience = minOf(callerLimit ?: route.timeout, route.timeout)
         val body = withTimeoutOrNull(patience) { exchange.body.await() }
-            ?: return Reply.NotRun(REQUEST_TIMEOUT, "body-late", null)
-        if (body is BodyResult.TooLong) return Reply.Failed(BODY_TOO_LARGE, "body-too-large")
-        if (body !is BodyResult.Read) return Reply.Failed(BAD_REQUEST, "body-broken")
-        val service = active.rotation(route.name).next()
-        val dispatched = DispatchedRequest(
+        if (body !is BodyResult.Read) return bodyFault(body)
+        val dispatched = dispatchedRequest(exchange, active, route, callerLimit, body)
+        exchange.flight = dispatched
+        val left = exchange.arrivedAt + patience - clock()
+        return withTimeoutOrNull(left) { dispatcher.dispatch(dispatched) } ?: timedOut(dispatched)
+    }
+
+    private fun headFaultOrNull(exchange: CallerExchange, active: ActiveConfig): Reply? {
+        val deadline: String? = exchange.request.getHeader(names.deadlineMillis)
+        val isDeadlineValid = deadline == null || deadline.toLongOrNull()?.let { it >= 0 } == true
+        return when {
+            exchange.id == null -> Reply.Failed(BAD_REQUEST, "no-request-id")
+
+            headerBytes(exchange.request) > active.config.callerLimits.maximumHeaderBytes ->
+                Reply.Failed(HEADERS_TOO_LARGE, "headers-too-large")
+
+            !isDeadlineValid -> Reply.Failed(BAD_REQUEST, "bad-deadline")
+
+            else -> null
+        }
+    }
+
+    /** Reply to a request whose body is [body], which is `null` if it did not arrive in time. */
+    private fun bodyFault(body: BodyResult?): Reply = when (body) {
+        null -> Reply.NotRun(REQUEST_TIMEOUT, "body-late", null)
+        BodyResult.TooLong -> Reply.Failed(BODY_TOO_LARGE, "body-too-large")
+        else -> Reply.Failed(BAD_REQUEST, "body-broken")
+    }
+
+    private fun dispatchedRequest(
+        exchange: CallerExchange,
+        active: ActiveConfig,
+        route: IngressRoute,
+        callerLimit: Duration?,
+        body: BodyResult.Read,
+    ): DispatchedRequest {
+        val request = exchange.request
+        val requestClass = RequestClass(route)
+        return DispatchedRequest(
             placement = PlacementRequest(
-                requestClass = RequestClass(route),
-                startedAt = exchange.arrivedAt - startedBefore(RequestClass(route), callerMillis),
-                deadline = exchange.arrivedAt + patience,
+                requestClass = requestClass,
+                startedAt = exchange.arrivedAt - startedBefore(requestClass, callerLimit),
+                deadline = exchange.arrivedAt + minOf(callerLimit ?: route.timeout, route.timeout),
                 affinityKey = if (route.sticky) request.getHeader(names.affinityKey) else null,
                 homeRegions = route.homeRegions,
             ),
-            service = service,
+            service = active.rotation(route.name).next(),
             maximumAttempts = route.maximumAttempts,
-            target = TargetRequest(id, request.method(), request.uri(), endToEndHeaders(request.headers()), body.body),
+            target = TargetRequest(
+                id = exchange.id.orEmpty(),
+                method = request.method(),
+                uri = request.uri(),
+                headers = endToEndHeaders(request.headers()),
+                body = body.body,
+            ),
         )
-        exchange.flight = dispatched
-        val left = exchange.arrivedAt + patience - clock()
-        return withTimeoutOrNull(left) { dispatcher.dispatch(dispatched) } ?: timedOut(dispatched)
     }
 
-    private fun startedBefore(requestClass: RequestClass, callerMillis: Long?): Duration {
-        if (callerMillis == null) return Duration.ZERO
-        return usualDeadlines.getOrPut(requestClass) { UsualDeadline() }.observe(callerMillis.milliseconds)
+    private fun startedBefore(requestClass: RequestClass, callerLimit: Duration?): Duration {
+        if (callerLimit == null) return Duration.ZERO
+        return usualDeadlines.getOrPut(requestClass) { UsualDeadline() }.observe(callerLimit)
     }
 
     private fun timedOut(request: DispatchedRequest): Reply = if (request.mayHaveRun) {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
@@ -15,7 +15,7 @@
 
 /** What a [StoreFeed] tells about the objects of its kind. */
 public interface StoreFeedListener {
-    /** All objects of the kind; [storeWasAway] tells whether entries may have lapsed while the store was unreachable. */
+    /** All objects of the kind; with [storeWasAway] entries may have lapsed while the store was unreachable. */
     public fun listed(objects: List<StoreObject>, storeWasAway: Boolean)
 
     /** Changes in the order in which they were made. */
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRequestTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRequestTest.kt
@@ -167,8 +167,8 @@
             withTargets(respond) { bed, targets ->
                 val smuggled = "GET /safe/smuggled HTTP/1.1\r\nHost: test.example\r\nX-Id: id-2\r\n\r\n"
                 val answer = bed.raw(
-                    "POST /safe/ HTTP/1.1\r\nHost: test.example\r\nX-Id: id-1\r\nContent-Length: ${smuggled.length}\r\n" +
-                        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n$smuggled",
+                    "POST /safe/ HTTP/1.1\r\nHost: test.example\r\nX-Id: id-1\r\n" +
+                        "Content-Length: ${smuggled.length}\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n$smuggled",
                 )
                 answer.status shouldBe 400
                 targets.single().received.filter { "smuggled" in it.line } shouldHaveSize 0
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
@@ -147,7 +147,8 @@
     ): CallerAnswer {
         val length = body?.let { "Content-Length: ${it.length}\r\n" }.orEmpty()
         return raw(
-            "$method $path HTTP/1.1\r\nHost: test.example\r\nX-Id: $id\r\nX-Deadline: $deadline\r\n$length\r\n${body.orEmpty()}",
+            "$method $path HTTP/1.1\r\nHost: test.example\r\nX-Id: $id\r\nX-Deadline: $deadline\r\n$length\r\n" +
+                body.orEmpty(),
         )
     }
 
