--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestDispatcher.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestDispatcher.kt
@@ -40,8 +40,11 @@
     var placementReason: String? = null
     var sentAt: MonotonicTime? = null
 
-    val wasSent: Boolean
-        get() = sends > 0
+    /** Whether a target has the request and did not answer yet. */
+    var isAtTarget = false
+
+    /** Whether the caller left, so that the request must not be sent to another target. */
+    var isCallerGone = false
 }
 
 /** Sends requests to targets, and again where that is safe, allowed and of use. */
@@ -85,7 +88,7 @@
 
     /** Whether [request] may be sent to one more target after a failure; if so, takes the repeat from the budget. */
     private fun mayRepeat(lane: ServiceLane, request: DispatchedRequest, reason: String): Boolean {
-        if (request.sends >= request.maximumAttempts) return false
+        if (request.isCallerGone || request.sends >= request.maximumAttempts) return false
         if (request.mayHaveRun && !request.placement.requestClass.idempotent) return false
         if (!lane.retries.tryRepeat(members(), clock())) {
             metrics.countRetry("budget-exhausted")
@@ -156,6 +159,7 @@
         request.sentAt = clock()
         val formerMayHaveRun = request.mayHaveRun
         request.mayHaveRun = true
+        request.isAtTarget = true
         val exchange = TargetExchange(connection, withTargetHeaders(request, send), names)
         val result = try {
             awaitResult(lane, request, send, exchange)
@@ -163,6 +167,8 @@
             // Closing the connection makes the target drop the request.
             connection.close()
             throw cancelled
+        } finally {
+            request.isAtTarget = false
         }
         if (result == null) {
             connection.close()
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestHandler.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestHandler.kt
@@ -74,7 +74,10 @@
         if (!job.isActive) return
         val flight = exchange.flight
         // A request that must not run twice and is at a target is left to end there.
-        if (exchange.route?.idempotent == false && flight?.wasSent == true) return
+        if (exchange.route?.idempotent == false && flight?.isAtTarget == true) {
+            flight.isCallerGone = true
+            return
+        }
         metrics.countReply("cancelled")
         log.request(
             "caller-left",
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRequestTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRequestTest.kt
@@ -8,6 +8,7 @@
 import org.anvilshed.gateway.testbed.ReceivedRequest
 import org.anvilshed.gateway.testbed.ScriptedTarget
 import java.net.Socket
+import java.util.concurrent.CountDownLatch
 
 /** Runs [test] with a gateway whose targets answer as [answers] say. */
 private fun withTargets(
@@ -204,4 +205,23 @@
                 }
             }
         }
+
+        test("a request whose caller left while a target had it is not sent to another one") {
+            val left = CountDownLatch(1)
+            val shedLate: (ReceivedRequest, Socket) -> Unit = { request, socket ->
+                left.await()
+                ScriptedTarget.respond(socket, request, "503 Service Unavailable", extra = "X-Not-Run: 1\r\n")
+            }
+            withTargets(shedLate, shedLate) { bed, targets ->
+                bed.connect().use { socket ->
+                    val head = "POST /once/ HTTP/1.1\r\nHost: test.example\r\nX-Id: id-1\r\nContent-Length: 1\r\n\r\n"
+                    ScriptedTarget.write(socket, head + "x")
+                    GatewayTestbed.await { targets.sumOf { it.received.size } == 1 }
+                }
+                Thread.sleep(200)
+                left.countDown()
+                Thread.sleep(500)
+                targets.sumOf { it.received.size } shouldBe 1
+            }
+        }
     })
