--- a/gateway/src/main/kotlin/org/anvilshed/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/GatewaySettings.kt
@@ -13,7 +13,6 @@
  * @property peerPort UDP port on which the entry VMs exchange announcements; the same on all VMs.
  * @property seeds control addresses of a few entry VMs that may be stale or down.
  * @property lookupTimeToLive how long callers may keep a look-up answer.
- * @property drain time after which a target that is leaving must get no request.
  * @property stopTimeout time from a stop signal until the platform kills the process.
  */
 public data class GatewaySettings(
@@ -24,7 +23,6 @@
     public val seeds: List<SocketAddress>,
     public val placement: PlacementSettings,
     public val lookupTimeToLive: Duration,
-    public val drain: Duration,
     public val stopTimeout: Duration,
 )
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/RequestHeaders.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/RequestHeaders.kt
@@ -6,7 +6,6 @@
  * @property requestId identifier of one attempt of a caller; targets repeat it in their answers.
  * @property deadlineMillis milliseconds that the caller still waits.
  * @property affinityKey object that a request concerns.
- * @property stamp proof of a target that it made the answer.
  * @property notExecuted set by a target that did not run the request.
  * @property expectedTarget name of the target for which a request is meant.
  * @property targetLoad running requests, waiting requests and slots of a target, separated by commas.
@@ -15,7 +14,6 @@
     public val requestId: String,
     public val deadlineMillis: String,
     public val affinityKey: String,
-    public val stamp: String,
     public val notExecuted: String,
     public val expectedTarget: String,
     public val targetLoad: String,
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerSocket.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerSocket.kt
@@ -17,6 +17,7 @@
 ) {
     private val socket: DatagramSocket = vertx.createDatagramSocket(DatagramSocketOptions().setReuseAddress(true))
     private var damaged = 0
+    private var failures = 0
 
     suspend fun open() {
         socket.exceptionHandler { log.warning("peer-socket-error", "cause" to it) }
@@ -34,8 +35,6 @@
         }
     }
 
-    private var failures = 0
-
     private fun reportDamaged(host: String) {
         if (damaged++ % REPORTED_FAILURES == 0) log.warning("peer-datagram-damaged", "host" to host, "count" to damaged)
     }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
@@ -1,7 +1,6 @@
 package org.anvilshed.gateway.store
 
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -70,11 +69,6 @@
         }
     }
 
-    /** Ends the current call and starts again from the last known revision. */
-    public suspend fun restart() {
-        watchJob?.cancelAndJoin()
-    }
-
     private suspend fun follow() {
         var backoff = FIRST_BACKOFF
         while (true) {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
@@ -44,7 +44,6 @@
 ) {
     private val outcome = CompletableDeferred<ExchangeResult>()
     private val largeEnded = CompletableDeferred<Boolean>()
-    private var sent: HttpClientRequest? = null
     private var requestWritten = false
     private var reusable = false
 
@@ -55,7 +54,7 @@
     /** Sends the request and returns when the answer is known. */
     suspend fun run(): ExchangeResult {
         val options = RequestOptions().setMethod(request.method).setURI(request.uri).setHeaders(request.headers)
-        connection.connection.closeHandlerOnce { broken("connection closed") }
+        connection.connection.exceptionHandler { broken("connection closed") }
         connection.connection.request(options).onComplete { created ->
             if (created.failed()) {
                 broken(
@@ -68,12 +67,7 @@
         return outcome.await()
     }
 
-    private fun io.vertx.core.http.HttpClientConnection.closeHandlerOnce(handler: () -> Unit) {
-        exceptionHandler { handler() }
-    }
-
     private fun write(target: HttpClientRequest) {
-        sent = target
         target.exceptionHandler { broken("request failed: $it") }
         target.response().onComplete { head ->
             if (head.failed()) broken("no answer: ${head.cause()}") else receive(head.result())
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
@@ -43,7 +43,6 @@
     requestId = "X-Id",
     deadlineMillis = "X-Deadline",
     affinityKey = "X-Key",
-    stamp = "X-Stamp",
     notExecuted = "X-Not-Run",
     expectedTarget = "X-Target",
     targetLoad = "X-Load",
@@ -117,7 +116,6 @@
             0.15,
         ),
         lookupTimeToLive = 200.milliseconds,
-        drain = 2.seconds,
         stopTimeout = 3.seconds,
     )
     private val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
