Treat a store or peer call whose connection closes as unanswered

Cause: Vert.x reports an orderly close with a VertxException, which is no IOException; a watch that was cut off ended its feed for the life of the process, and only the copies from peers kept the VM up to date. Bodies are now read in the turn in which their head arrives.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerSnapshots.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerSnapshots.kt
@@ -1,6 +1,7 @@
 package org.anvilshed.gateway.peers
 
 import io.vertx.core.Vertx
+import io.vertx.core.VertxException
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClientAgent
 import io.vertx.core.http.HttpClientOptions
@@ -42,11 +43,15 @@
         withTimeoutOrNull(CALL_TIMEOUT) {
             val options = RequestOptions().setMethod(HttpMethod.GET).setHost(control.host).setPort(control.port)
                 .setURI(pathOf(kind))
-            val response = client.request(options).coAwait().send().coAwait()
-            if (response.statusCode() == OK) decode(response.body().coAwait()) else null
+            val answer = client.request(options).coAwait().send().compose { response ->
+                response.body().map { body -> body.takeIf { response.statusCode() == OK } }
+            }
+            answer.coAwait()?.let(::decode)
         }
     } catch (_: IOException) {
         null
+    } catch (_: VertxException) {
+        null
     } catch (_: DecodeException) {
         null
     } catch (_: ClassCastException) {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnections.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnections.kt
@@ -1,5 +1,6 @@
 package org.anvilshed.gateway.targets
 
+import io.vertx.core.VertxException
 import io.vertx.core.http.HttpClientAgent
 import io.vertx.core.http.HttpClientConnection
 import io.vertx.core.http.HttpConnectOptions
@@ -100,6 +101,8 @@
             withTimeoutOrNull(timeout) { opening.coAwait() }
         } catch (_: IOException) {
             null
+        } catch (_: VertxException) {
+            null
         }
         if (connection == null) {
             forget(target.key)
