Use idle slots of other regions, keep each object at few targets

A request was refused when it could not wait for its best target, even if another one had room; a region without targets refused nearly all requests as too late, since no far target counted as worth it; and requests that left the region went to any far target, which did not keep their objects, so they took three times the work. Ruled out: the shift band (shares moved by less than it allows) and the callers' trips (in time for all kinds if the object is kept). Change: a request that would be refused takes a slot that is free; a far target that answers in time is used before waiting; all VMs prefer the same two far targets for an object, and other targets take requests for it only while half empty; probabilities that a target keeps an object are learned; the wait in the queue follows from the slots that the VM's requests get.

--- a/core/src/main/kotlin/org/anvilshed/core/placement/Flight.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/Flight.kt
@@ -10,7 +10,7 @@
  * @property expected time that the answer was expected to take.
  * @property loadFound requests that were believed to be at the target.
  * @property slotShare part of its time in flight in which the request takes a slot and is not under way.
- * @property knownObject whether the target was believed to know the request's object.
+ * @property rank place of the target among those that are preferred for the request's object.
  * @property objectAge requests with objects that were sent to the target since the object was; `null` if it never was.
  */
 public class Flight internal constructor(
@@ -20,7 +20,7 @@
     internal val expected: Duration,
     internal val loadFound: Double,
     internal val slotShare: Double,
-    internal val knownObject: Boolean,
+    internal val rank: ObjectRank,
     internal val objectAge: Long?,
 ) {
     /** Whether the target was believed to have a free slot, so that the time of its answer is work alone. */
@@ -33,7 +33,7 @@
 
     /** What decided the choice of the target, for the log. */
     public val reason: String
-        get() = "load=%.1f/${load.target.slots} known=$knownObject expected=${expected.inWholeMilliseconds}ms"
+        get() = "load=%.1f/${load.target.slots} rank=$rank expected=${expected.inWholeMilliseconds}ms"
             .format(Locale.ROOT, loadFound)
 }
 
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ObjectPreference.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ObjectPreference.kt
@@ -5,38 +5,51 @@
 /**
  * Which targets probably know the object of a request, so that they need less work for it.
  *
- * All VMs of a region prefer the same two of its targets for an object; objects for which the region has no room have
- * one preferred target in another region. Not thread-safe.
+ * All VMs of a region prefer the same two of its targets for an object, and the same two of all other regions for what
+ * the region has no room for. Not thread-safe.
  */
 internal class ObjectPreference(private val capacity: RegionCapacity) {
     private val remoteObjects = RemoteObjects()
+    private val hitRates = HitRates()
 
     /** Adjusts how many objects are kept in other regions. */
     fun adjust(now: MonotonicTime): Unit = remoteObjects.adjust(capacity.occupancy(now), now)
 
-    /** Returns the probability that a target knows the object of [request], as a function of the target. */
-    fun probabilities(request: PlacementRequest, usable: List<TargetLoad>): (TargetLoad) -> Double {
-        if (request.objectKey == null) return { 0.0 }
+    /** Returns the ranks of the targets of [usable] for the object of [request], as a function of the target. */
+    fun ranks(request: PlacementRequest, usable: List<TargetLoad>): (TargetLoad) -> ObjectRank {
+        if (request.objectKey == null) return { ObjectRank.OTHER }
         val (far, near) = usable.partition { capacity.isRemote(it) }
         val ordered = near.sortedByDescending { it.rendezvousScore(request.objectHash) }
         val first = ordered.getOrNull(0)
         val second = ordered.getOrNull(1)
-        val isKeptElsewhere = remoteObjects.contains(request.objectHash)
-        val remote = if (isKeptElsewhere) far.maxByOrNull { it.rendezvousScore(request.objectHash) } else null
+        val remote = far.sortedByDescending { it.rendezvousScore(request.objectHash) }.take(REMOTE_CHOICES)
         return { load ->
             when {
-                load.knows(request) -> KNOWN_PROBABILITY
-                load === first || load === remote -> FIRST_RANK_PROBABILITY
-                load === second -> SECOND_RANK_PROBABILITY
-                else -> 0.0
+                load.knows(request) -> ObjectRank.SENT
+                load === first -> ObjectRank.FIRST
+                load === second -> ObjectRank.SECOND
+                load in remote -> ObjectRank.REMOTE
+                else -> ObjectRank.OTHER
             }
         }
     }
 
+    /** Returns the probability that a target of [rank] knows the object of [request]. */
+    fun hitRate(request: PlacementRequest, rank: ObjectRank): Double = when {
+        request.objectKey == null -> 0.0
+
+        // Objects that are kept elsewhere go there each time, so the target there is like the first of the region.
+        rank == ObjectRank.REMOTE && remoteObjects.contains(request.objectHash) ->
+            maxOf(hitRates.of(rank), ObjectRank.FIRST.firstHitRate)
+
+        else -> hitRates.of(rank)
+    }
+
+    /** Records whether the target of [rank] knew the object of a request. */
+    fun learn(rank: ObjectRank, known: Boolean): Unit = hitRates.observe(rank, known)
+
     private companion object {
-        /** Probabilities that a target knows an object: sent by this VM, or by others of the same preference. */
-        const val KNOWN_PROBABILITY = 0.9
-        const val FIRST_RANK_PROBABILITY = 0.7
-        const val SECOND_RANK_PROBABILITY = 0.3
+        /** A second choice takes what the first has no room for; more would scatter the objects. */
+        const val REMOTE_CHOICES = 2
     }
 }
--- a/core/src/main/kotlin/org/anvilshed/core/placement/RegionCapacity.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/RegionCapacity.kt
@@ -43,18 +43,29 @@
         return present < mostSlots * LOST_SLOTS_SHARE
     }
 
-    /** Time in which the region's targets serve [waiting] requests of this VM that take [averageWork] each. */
+    /**
+     * Time in which slots become free for [waiting] requests of this VM that take [averageWork] each.
+     *
+     * The slots that the VM's own requests take, in any region, show its share of all slots; while some are free in the
+     * own region, they add to that share.
+     */
     fun queueWait(waiting: Int, averageWork: Duration, now: MonotonicTime): Duration {
         if (waiting == 0) return ZERO
-        val near = nearTargets()
-        val slots = near.sumOf { it.target.slots }.coerceAtLeast(1)
-        val own = near.sumOf { it.occupiedSlots }.coerceAtLeast(1.0)
-        val all = near.sumOf { it.load(now) }.coerceAtLeast(own)
-        return averageWork * (waiting * all / (slots * own))
+        return averageWork * (waiting / loads().sumOf { ownSlots(it, now) }.coerceAtLeast(1.0))
+    }
+
+    /** Slots of the target of [load] that this VM's requests get: its share of those taken, and near ones that idle. */
+    private fun ownSlots(load: TargetLoad, now: MonotonicTime): Double {
+        val slots = load.target.slots.toDouble()
+        val taken = load.load(now)
+        val own = load.occupiedSlots * slots / maxOf(taken, slots)
+        return if (isNearUsable(load)) own + (slots - taken).coerceAtLeast(0.0) else own
     }
 
-    private fun nearTargets(): List<TargetLoad> =
-        loads().filter { !isRemote(it) && !it.target.draining && it.target.zone !in evacuated }
+    private fun nearTargets(): List<TargetLoad> = loads().filter(::isNearUsable)
+
+    private fun isNearUsable(load: TargetLoad): Boolean =
+        !isRemote(load) && !load.target.draining && load.target.zone !in evacuated
 
     private companion object {
         /** A region that keeps less than this share of the slots that it had within this time moves its requests. */
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
@@ -73,14 +73,22 @@
         if (usable.isEmpty()) return Placement.Refuse(RefusalCause.NO_TARGET, NO_TARGET_RETRY)
         preference.adjust(now)
         val choice = selector.choose(request, usable, now)
-        val free = choice.free
-        return if (free != null &&
-            free === choice.best
-        ) {
-            send(request, free, now)
-        } else {
-            queueOrRefuse(request, choice, now)
-        }
+        val wait = queueWait(request, now)
+        val free = choice.free?.takeIf { isBetterThanWaiting(request, it, choice, wait, now) }
+        return if (free != null) send(request, free, choice, now) else queueOrRefuse(request, choice, wait, now)
+    }
+
+    /** Whether [request] should go to [free] now, although another target may answer sooner once it has room. */
+    private fun isBetterThanWaiting(
+        request: PlacementRequest,
+        free: TargetLoad,
+        choice: TargetChoice,
+        wait: Duration,
+        now: MonotonicTime,
+    ): Boolean {
+        if (free === choice.best) return true
+        val isInTime = untilGoal(request, choice.freeLatency, now) >= ZERO
+        return isInTime && choice.freeLatency < choice.bestLatency + wait
     }
 
     /** Removes a request whose caller left; returns whether it was still waiting. */
@@ -121,7 +129,9 @@
         val choice = selector.choose(ticket.request, usable, now)
         val isDue = now >= ticket.expiresAt
         val free = choice.free?.takeIf { isDue || it === choice.best }
-        if (free != null && ticket.request.deadline - now > choice.freeLatency) return send(ticket.request, free, now)
+        if (free != null && ticket.request.deadline - now > choice.freeLatency) {
+            return send(ticket.request, free, choice, now)
+        }
         if (!isDue) return null
         return Placement.Refuse(RefusalCause.OVERLOADED, queueWait(ticket.request, now) + MINIMUM_RETRY)
     }
@@ -130,8 +140,10 @@
     private fun learn(flight: Flight, work: Duration): Double {
         val requestClass = flight.request.requestClass
         val age = flight.objectAge
-        val known = age != null && (age < SURELY_KNOWN_AGE || estimates.looksKnown(requestClass, work))
+        val surelyKnown = age != null && age < SURELY_KNOWN_AGE
+        val known = flight.request.objectKey != null && (surelyKnown || estimates.looksKnown(requestClass, work))
         if (age != null) flight.load.learnObject(age, known)
+        if (flight.request.objectKey != null) preference.learn(flight.rank, known)
         val should = estimates.expected(requestClass, if (known) 1.0 else 0.0)
         // A slow target's work says nothing about the others.
         if (flight.load.speedFactor < SLOW_FACTOR) estimates.observe(requestClass, known, work)
@@ -149,12 +161,17 @@
         return if (healthy.size * 2 >= eligible.size) healthy else eligible
     }
 
-    private fun send(request: PlacementRequest, load: TargetLoad, now: MonotonicTime): Placement.Send {
+    private fun send(
+        request: PlacementRequest,
+        load: TargetLoad,
+        choice: TargetChoice,
+        now: MonotonicTime,
+    ): Placement.Send {
         val cold = load.isCold(now)
         if (cold) coldLimit.recordSent(load, now)
         capacity.regionOf(load)?.let { shift.recordSent(it, now) }
-        val known = load.knows(request)
-        val work = estimates.expected(request.requestClass, if (known) 1.0 else 0.0)
+        val rank = choice.rankOf(load)
+        val work = estimates.expected(request.requestClass, preference.hitRate(request, rank))
         val expected = if (cold) work * TargetLoad.COLD_FACTOR else work
         val flight = Flight(
             load = load,
@@ -163,26 +180,38 @@
             expected = expected,
             loadFound = load.load(now),
             slotShare = expected / (expected + tripTime(load.target.zone)),
-            knownObject = known,
+            rank = rank,
             objectAge = load.objectAgeOrNull(request),
         )
         load.recordSent(flight, now)
         return Placement.Send(load.target, flight, cold)
     }
 
-    private fun queueOrRefuse(request: PlacementRequest, choice: TargetChoice, now: MonotonicTime): Placement {
-        val wait = queueWait(request, now)
+    private fun queueOrRefuse(
+        request: PlacementRequest,
+        choice: TargetChoice,
+        wait: Duration,
+        now: MonotonicTime,
+    ): Placement {
         val latency = (choice.bestLatency + wait).coerceAtMost(LONGEST_ESTIMATE)
         val left = request.deadline - now
+        val spare = untilGoal(request, latency, now)
+        val affordable = if (spare > ZERO) spare + wait else (left - latency) * LATE_WAIT_SHARE
+        if (left >= latency && wait <= affordable) {
+            val ticket = WaitingRequest(request, now + affordable.coerceAtMost(left - latency), nextSequence++)
+            waiting.add(ticket)
+            return Placement.Wait(ticket)
+        }
+        // A slot that is free now serves the request, if late, better than a refusal.
+        if (choice.free != null && choice.freeLatency <= left) return send(request, choice.free, choice, now)
         if (left < latency) return Placement.Refuse(RefusalCause.DEADLINE, wait + MINIMUM_RETRY)
-        val untilGoal = request.goal - (now - request.startedAt) - TargetSelector.CALLER_TRIP - latency
-        val affordable = if (untilGoal > ZERO) untilGoal + wait else (left - latency) * LATE_WAIT_SHARE
-        if (wait > affordable) return Placement.Refuse(RefusalCause.OVERLOADED, wait - affordable + MINIMUM_RETRY)
-        val ticket = WaitingRequest(request, now + affordable.coerceAtMost(left - latency), nextSequence++)
-        waiting.add(ticket)
-        return Placement.Wait(ticket)
+        return Placement.Refuse(RefusalCause.OVERLOADED, wait - affordable + MINIMUM_RETRY)
     }
 
+    /** Time by which an answer after [latency] would come before the goal; negative if it would be late. */
+    private fun untilGoal(request: PlacementRequest, latency: Duration, now: MonotonicTime): Duration =
+        request.goal - (now - request.startedAt) - TargetSelector.CALLER_TRIP - latency
+
     /** Time until those that go before [request] are served. */
     private fun queueWait(request: PlacementRequest, now: MonotonicTime): Duration {
         val ahead = waiting.count { it.request.requestClass.priority <= request.requestClass.priority }
--- a/core/src/main/kotlin/org/anvilshed/core/placement/TargetSelector.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/TargetSelector.kt
@@ -12,12 +12,14 @@
  *
  * @property best target from which the answer would come soonest, although it may be full.
  * @property free best of the targets that may get the request now, or `null` if there is none.
+ * @property rankOf rank of each target for the object of the request.
  */
 internal class TargetChoice(
     val best: TargetLoad,
     val bestLatency: Duration,
     val free: TargetLoad?,
     val freeLatency: Duration,
+    val rankOf: (TargetLoad) -> ObjectRank,
 )
 
 /** Chooses the target from which the answer to a request is expected soonest. Not thread-safe. */
@@ -30,48 +32,55 @@
     private val preference: ObjectPreference,
     private val coldLimit: ColdLimit,
 ) {
-    private class Candidate(val load: TargetLoad, val latency: Duration, val cost: Duration)
+    private class Candidate(
+        val load: TargetLoad,
+        val latency: Duration,
+        val cost: Duration,
+        val isDemanded: Boolean,
+        val displaces: Boolean,
+    )
 
     /** Returns the choice among [usable], which must not be empty, for [request] at [now]. */
     fun choose(request: PlacementRequest, usable: List<TargetLoad>, now: MonotonicTime): TargetChoice {
         val demanded = shift.regions.firstOrNull { it != settings.region && shift.demands(it, now) }
-        val probability = preference.probabilities(request, usable)
-        val candidates = usable.mapNotNull { candidateOrNull(request, it, probability(it), demanded, now) }
-        val free = candidates.filter { hasRoom(it.load, now) && mayUse(it.load, now) }.minByOrNull { it.cost }
-        val soonest = candidates.minByOrNull { it.cost }
+        val rankOf = preference.ranks(request, usable)
+        val hasNear = usable.any { !capacity.isRemote(it) }
+        val all = usable.map { candidate(request, it, rankOf(it), demanded, now) }
+        // Requests that leave the region take slots from those that don't have to, so they must gain by it.
+        val candidates = all.filter { !hasNear || it.isDemanded || isWorthLeaving(request, it, now) }.ifEmpty { all }
+        val free = candidates.filter { hasRoom(it, now) && mayUse(it.load, now) }.minByOrNull { it.cost }
+        val soonest = candidates.minBy { it.cost }
         // A target that this VM may not use now, although it has room, is not worth waiting for.
-        val best = if (free != null && soonest != null && hasRoom(soonest.load, now)) free else soonest
+        val best = if (free != null && hasRoom(soonest, now)) free else soonest
         return TargetChoice(
-            best = best?.load ?: usable.first(),
-            bestLatency = best?.latency ?: Duration.INFINITE,
+            best = best.load,
+            bestLatency = best.latency,
             free = free?.load,
             freeLatency = free?.latency ?: Duration.INFINITE,
+            rankOf = rankOf,
         )
     }
 
-    private fun candidateOrNull(
+    private fun candidate(
         request: PlacementRequest,
         load: TargetLoad,
-        knownProbability: Double,
+        rank: ObjectRank,
         demanded: RegionName?,
         now: MonotonicTime,
-    ): Candidate? {
-        val work = estimates.expected(request.requestClass, knownProbability)
+    ): Candidate {
+        val work = estimates.expected(request.requestClass, preference.hitRate(request, rank))
         val latency = latency(load, work, now)
         val isDemanded = demanded != null && capacity.regionOf(load) == demanded
-        // Requests that leave the region take slots from those that don't have to, so they must gain by it.
-        if (capacity.isRemote(load) && !isDemanded && !isWorthLeaving(request, load, latency, now)) return null
-        val cost = latency + work * surchargeShare(load, now)
-        return Candidate(load, latency, if (isDemanded) cost * DEMANDED_DISCOUNT else cost)
+        val displaces = request.objectKey != null && rank == ObjectRank.OTHER
+        val surcharge = surchargeShare(load, now) + (if (displaces) DISPLACEMENT_COST else 0.0)
+        val cost = latency + work * surcharge
+        return Candidate(load, latency, if (isDemanded) cost * DEMANDED_DISCOUNT else cost, isDemanded, displaces)
     }
 
-    private fun isWorthLeaving(
-        request: PlacementRequest,
-        load: TargetLoad,
-        latency: Duration,
-        now: MonotonicTime,
-    ): Boolean {
-        val inTime = now - request.startedAt + latency + CALLER_TRIP <= request.goal
+    private fun isWorthLeaving(request: PlacementRequest, candidate: Candidate, now: MonotonicTime): Boolean {
+        val load = candidate.load
+        if (!capacity.isRemote(load)) return true
+        val inTime = now - request.startedAt + candidate.latency + CALLER_TRIP <= request.goal
         val occupied = load.load(now) / load.target.slots
         return occupied < (if (inTime) REMOTE_OCCUPANCY else LATE_REMOTE_OCCUPANCY)
     }
@@ -103,16 +112,22 @@
     }
 
     /**
-     * Whether the target of [load] may hold one more request.
+     * Whether the target of [candidate] may hold one more request.
      *
      * A request that waits at a target for the slot of a short one may be answered sooner than on a free slot
-     * elsewhere, and no slot idles for a trip. The rest waits at the VM, where urgent kinds go first.
+     * elsewhere, and no slot idles for a trip. The rest waits at the VM, where urgent kinds go first. Where the object
+     * is not kept, the request takes the slot for several times as long as at the targets that keep it, so under load
+     * it waits for one of those.
      */
-    private fun hasRoom(load: TargetLoad, now: MonotonicTime): Boolean {
-        val slots = load.target.slots
-        val limit = if (capacity.isRemote(load)) slots else slots + ceil(slots * OVERCOMMIT_SHARE).toInt()
+    private fun hasRoom(candidate: Candidate, now: MonotonicTime): Boolean {
+        val slots = candidate.load.target.slots
+        val limit = when {
+            candidate.displaces -> slots * DISPLACEMENT_OCCUPANCY
+            capacity.isRemote(candidate.load) -> slots.toDouble()
+            else -> slots + ceil(slots * OVERCOMMIT_SHARE)
+        }
         // Requests under way count as a part of a slot, so loads are compared to the middle between two numbers.
-        return load.load(now) < limit - HALF_SLOT
+        return candidate.load.load(now) < limit - HALF_SLOT
     }
 
     companion object {
@@ -122,6 +137,12 @@
         /** Work that a request takes from others: a slot that it holds longer serves fewer of them. */
         private const val SLOT_COST = 0.5
 
+        /** A target that does not keep the object works as for a new one and may forget another object for it. */
+        private const val DISPLACEMENT_COST = 0.5
+
+        /** Occupancy up to which a target takes requests for objects that it is not meant to keep. */
+        private const val DISPLACEMENT_OCCUPANCY = 0.5
+
         /** A failed request costs about two more: one that is sent again and one that it delays. */
         private const val FAILURE_COST = 2.0
 
@@ -137,7 +158,7 @@
 
         /** Occupancy up to which targets of another region take requests that are still in time there, or late. */
         private const val REMOTE_OCCUPANCY = 0.85
-        private const val LATE_REMOTE_OCCUPANCY = 0.5
+        private const val LATE_REMOTE_OCCUPANCY = 0.7
 
         /** Requests that may wait at a target, as a share of its slots. */
         private const val OVERCOMMIT_SHARE = 0.2
