Keep spare targets for objects they know, bound the warm-up, give back connections of callers that left

Change: a target that is not the first choice for an object takes requests for it up to three quarters of its slots; the warm-up ends after a second; connections are given back in any case; a connection's time is reported once.

--- a/core/src/main/kotlin/org/anvilshed/core/placement/ObjectPreference.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ObjectPreference.kt
@@ -17,7 +17,7 @@
 
     /** Returns the ranks of the targets of [usable] for the object of [request], as a function of the target. */
     fun ranks(request: PlacementRequest, usable: List<TargetLoad>): (TargetLoad) -> ObjectRank {
-        if (request.objectKey == null) return { ObjectRank.OTHER }
+        if (request.objectKey == null) return { ObjectRank.ANY }
         val (far, near) = usable.partition { capacity.isRemote(it) }
         val ordered = near.sortedByDescending { it.rendezvousScore(request.objectHash) }
         val first = ordered.getOrNull(0)
@@ -36,8 +36,6 @@
 
     /** Returns the probability that a target of [rank] knows the object of [request]. */
     fun hitRate(request: PlacementRequest, rank: ObjectRank): Double = when {
-        request.objectKey == null -> 0.0
-
         // Objects that are kept elsewhere go there each time, so the target there is like the first of the region.
         rank == ObjectRank.REMOTE && remoteObjects.contains(request.objectHash) ->
             maxOf(hitRates.of(rank), ObjectRank.FIRST.firstHitRate)
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ObjectRank.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ObjectRank.kt
@@ -20,4 +20,7 @@
 
     /** No choice of anybody: the object would take the place of another one there. */
     OTHER(0.0),
+
+    /** The request concerns no object that targets could keep. */
+    ANY(0.0),
 }
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
@@ -143,7 +143,7 @@
         val surelyKnown = age != null && age < SURELY_KNOWN_AGE
         val known = flight.request.objectKey != null && (surelyKnown || estimates.looksKnown(requestClass, work))
         if (age != null) flight.load.learnObject(age, known)
-        if (flight.request.objectKey != null) preference.learn(flight.rank, known)
+        preference.learn(flight.rank, known)
         val should = estimates.expected(requestClass, if (known) 1.0 else 0.0)
         // A slow target's work says nothing about the others.
         if (flight.load.speedFactor < SLOW_FACTOR) estimates.observe(requestClass, known, work)
--- a/core/src/main/kotlin/org/anvilshed/core/placement/TargetSelector.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/TargetSelector.kt
@@ -37,7 +37,7 @@
         val latency: Duration,
         val cost: Duration,
         val isDemanded: Boolean,
-        val displaces: Boolean,
+        val rank: ObjectRank,
     )
 
     /** Returns the choice among [usable], which must not be empty, for [request] at [now]. */
@@ -71,10 +71,10 @@
         val work = estimates.expected(request.requestClass, preference.hitRate(request, rank))
         val latency = latency(load, work, now)
         val isDemanded = demanded != null && capacity.regionOf(load) == demanded
-        val displaces = request.objectKey != null && rank == ObjectRank.OTHER
-        val surcharge = surchargeShare(load, now) + (if (displaces) DISPLACEMENT_COST else 0.0)
+        val displacement = if (rank == ObjectRank.OTHER) DISPLACEMENT_COST else 0.0
+        val surcharge = surchargeShare(load, now) + displacement
         val cost = latency + work * surcharge
-        return Candidate(load, latency, if (isDemanded) cost * DEMANDED_DISCOUNT else cost, isDemanded, displaces)
+        return Candidate(load, latency, if (isDemanded) cost * DEMANDED_DISCOUNT else cost, isDemanded, rank)
     }
 
     private fun isWorthLeaving(request: PlacementRequest, candidate: Candidate, now: MonotonicTime): Boolean {
@@ -121,10 +121,13 @@
      */
     private fun hasRoom(candidate: Candidate, now: MonotonicTime): Boolean {
         val slots = candidate.load.target.slots
-        val limit = when {
-            candidate.displaces -> slots * DISPLACEMENT_OCCUPANCY
-            capacity.isRemote(candidate.load) -> slots.toDouble()
-            else -> slots + ceil(slots * OVERCOMMIT_SHARE)
+        val limit = when (candidate.rank) {
+            ObjectRank.OTHER -> slots * DISPLACEMENT_OCCUPANCY
+
+            ObjectRank.SECOND, ObjectRank.REMOTE -> slots * SPARE_OCCUPANCY
+
+            ObjectRank.SENT, ObjectRank.FIRST, ObjectRank.ANY ->
+                if (capacity.isRemote(candidate.load)) slots.toDouble() else slots + ceil(slots * OVERCOMMIT_SHARE)
         }
         // Requests under way count as a part of a slot, so loads are compared to the middle between two numbers.
         return candidate.load.load(now) < limit - HALF_SLOT
@@ -143,6 +146,12 @@
         /** Occupancy up to which a target takes requests for objects that it is not meant to keep. */
         private const val DISPLACEMENT_OCCUPANCY = 0.5
 
+        /**
+         * Occupancy up to which a target that is not the first choice for an object takes requests for it. While
+         * targets know few objects, as after a start, one target for each object becomes fast soonest.
+         */
+        private const val SPARE_OCCUPANCY = 0.75
+
         /** A failed request costs about two more: one that is sent again and one that it delays. */
         private const val FAILURE_COST = 2.0
 
@@ -158,7 +167,7 @@
 
         /** Occupancy up to which targets of another region take requests that are still in time there, or late. */
         private const val REMOTE_OCCUPANCY = 0.85
-        private const val LATE_REMOTE_OCCUPANCY = 0.7
+        private const val LATE_REMOTE_OCCUPANCY = 0.5
 
         /** Requests that may wait at a target, as a share of its slots. */
         private const val OVERCOMMIT_SHARE = 0.2
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -34,7 +34,6 @@
 import org.anvilshed.gateway.store.ObjectStore
 import org.anvilshed.gateway.targets.TargetConnections
 import kotlin.math.roundToInt
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Process of one entry VM: serves callers, follows the store and talks to the other entry VMs. */
@@ -74,7 +73,9 @@
                 .setMaxHeaderSize(LARGEST_HEADER_BYTES).setTcpNoDelay(true),
             PoolOptions().setHttp1MaxSize(1),
         ),
+        log,
         clock,
+        opened = { target, duration -> trips.observe(target.zone, duration) },
     )
     private val dispatcher = RequestDispatcher(
         lanes = { lanes[it] },
@@ -86,7 +87,6 @@
         members = { membership.limitHolders(clock()).size },
         connectionLimit = ::connectionLimit,
         connectTimeout = { trips.of(it.zone) * CONNECT_TRIPS + CONNECT_MINIMUM },
-        connected = { target, duration -> if (duration > Duration.ZERO) trips.observe(target.zone, duration) },
     )
     private val handler = RequestHandler(scope, state, dispatcher, names, log, metrics, clock) { leaving }
     private val snapshots = PeerSnapshots(vertx, feeds.byKind)
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/WarmUp.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/WarmUp.kt
@@ -9,8 +9,8 @@
 import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.anvilshed.core.RegionName
 import org.anvilshed.core.ServiceName
 import org.anvilshed.core.SocketAddress
@@ -30,6 +30,7 @@
 import org.anvilshed.gateway.requests.RequestHandler
 import org.anvilshed.gateway.requests.ServiceLane
 import org.anvilshed.gateway.targets.TargetConnections
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -49,21 +50,27 @@
 ) {
     private val service = ServiceName("warm-up")
 
-    /** Sends [count] requests and returns once all are answered. */
-    public suspend fun run(count: Int) {
+    /** Sends [count] requests, or as many as are answered within [limit]. */
+    public suspend fun run(count: Int, limit: Duration) {
         val startedAt = clock()
         val target = vertx.createHttpServer().requestHandler(::answerAsTarget).listen(0, host).coAwait()
         val front = openFront(target)
         val client = vertx.createHttpClient(HttpClientOptions(), PoolOptions().setHttp1MaxSize(CONCURRENCY))
-        coroutineScope {
+        var answered = 0
+        withTimeoutOrNull(limit) {
             for (worker in 0 until CONCURRENCY) {
-                launch { for (number in worker until count step CONCURRENCY) request(client, front, number) }
+                launch {
+                    for (number in worker until count step CONCURRENCY) {
+                        request(client, front, number)
+                        answered++
+                    }
+                }
             }
         }
         client.close().coAwait()
         front.close().coAwait()
         target.close().coAwait()
-        log.belief("warmed-up", "requests" to count, "took_ms" to (clock() - startedAt).inWholeMilliseconds)
+        log.belief("warmed-up", "requests" to answered, "took_ms" to (clock() - startedAt).inWholeMilliseconds)
     }
 
     private suspend fun request(client: io.vertx.core.http.HttpClient, front: HttpServer, number: Int) {
@@ -93,7 +100,7 @@
         pool.updateTargets(fleet, emptySet(), clock())
         val lane = ServiceLane(pool, RetryAllowance(0.0, 0.0, 10.seconds), clock)
         val metrics = GatewayMetrics()
-        val connections = TargetConnections(vertx.createHttpClient(), clock)
+        val connections = TargetConnections(vertx.createHttpClient(), log, clock) { _, _ -> }
         val dispatcher = RequestDispatcher(
             lanes = { lane },
             connections = connections,
@@ -104,7 +111,6 @@
             members = { 1 },
             connectionLimit = { CONCURRENCY },
             connectTimeout = { 1.seconds },
-            connected = { _, _ -> },
         )
         val state = IngressState().apply { replace(config()) }
         val handler = RequestHandler(scope, state, dispatcher, names, log, metrics, clock) { false }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestDispatcher.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestDispatcher.kt
@@ -58,7 +58,6 @@
     private val members: () -> Int,
     private val connectionLimit: (ServiceName) -> Int,
     private val connectTimeout: (FleetTarget) -> Duration,
-    private val connected: (FleetTarget, Duration) -> Unit,
 ) {
     /** Serves [request] and returns its final answer. */
     suspend fun dispatch(request: DispatchedRequest): Reply {
@@ -131,7 +130,6 @@
                 log.request("target-unreachable", "id" to request.target.id, "target" to send.target.key.name)
                 return AttemptResult.NotSent
             }
-            connected(send.target, connection.openedIn)
             // Opening a connection takes time in which the target may have left.
             if (!lane.pool.mayReceive(send.target)) {
                 connections.release(send.target.key, connection)
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnections.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnections.kt
@@ -10,16 +10,13 @@
 import org.anvilshed.core.fleet.FleetTarget
 import org.anvilshed.core.fleet.TargetKey
 import org.anvilshed.gateway.Clock
+import org.anvilshed.gateway.DecisionLog
 import java.io.IOException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/**
- * Connection to a target with what is known of its use.
- *
- * @property openedIn time that opening it took.
- */
-internal class TargetConnection(val connection: HttpClientConnection, val openedIn: Duration) {
+/** Connection to a target with what is known of its use. */
+internal class TargetConnection(val connection: HttpClientConnection) {
     var idleSince: MonotonicTime = MonotonicTime(0)
     var idleLimit: Duration = DEFAULT_IDLE_LIMIT
     var isOpen: Boolean = true
@@ -35,15 +32,20 @@
     }
 }
 
-/** Kept connections to all targets. Used by the event loop alone. */
-internal class TargetConnections(private val client: HttpClientAgent, private val clock: Clock) {
+/**
+ * Kept connections to all targets. Used by the event loop alone.
+ *
+ * @param opened called with the time that it took to open a connection.
+ */
+internal class TargetConnections(
+    private val client: HttpClientAgent,
+    private val log: DecisionLog,
+    private val clock: Clock,
+    private val opened: (FleetTarget, Duration) -> Unit,
+) {
     private val idle = HashMap<TargetKey, ArrayDeque<TargetConnection>>()
     private val open = HashMap<TargetKey, Int>()
 
-    /** Connections opened since the start. */
-    var openedCount = 0L
-        private set
-
     /**
      * Returns a kept connection that was idle for less than [freshness], or a new one.
      *
@@ -97,20 +99,23 @@
         val options = HttpConnectOptions().setHost(target.address.host).setPort(target.address.port)
             .setConnectTimeout(timeout.inWholeMilliseconds)
         val opening = client.connect(options)
-        val connection = try {
-            withTimeoutOrNull(timeout) { opening.coAwait() }
-        } catch (_: IOException) {
-            null
-        } catch (_: VertxException) {
-            null
-        }
-        if (connection == null) {
-            forget(target.key)
-            opening.onSuccess { it.close() }
-            return null
+        var connection: HttpClientConnection? = null
+        try {
+            connection = withTimeoutOrNull(timeout) { opening.coAwait() }
+        } catch (failure: IOException) {
+            log.request("target-connect-failed", "target" to target.key.name, "cause" to failure)
+        } catch (failure: VertxException) {
+            log.request("target-connect-failed", "target" to target.key.name, "cause" to failure)
+        } finally {
+            // Also if the caller left meanwhile: a connection that opens later is of no use.
+            if (connection == null) {
+                forget(target.key)
+                opening.onSuccess { it.close() }
+            }
         }
-        openedCount++
-        val result = TargetConnection(connection, clock() - startedAt)
+        if (connection == null) return null
+        opened(target, clock() - startedAt)
+        val result = TargetConnection(connection)
         connection.closeHandler {
             result.isOpen = false
             idle[target.key]?.remove(result)
