Let a region without targets send to others at once

Cause: the shift band compares shares with a window ago. A VM that starts while its region has no usable target of a service has sent nothing, so the band allowed it no request to another region, ever, and it refused all. Ruled out: the forced step for lost slots; the VM had not seen them. Change: the band binds only requests that could stay in their region. Tests: 'a region without targets waits for those of other regions' (the first request waited before, is sent after); 'a request that can't wait for its own region takes a free slot of another one'.

--- a/core/src/main/kotlin/org/anvilshed/core/placement/TargetSelector.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/TargetSelector.kt
@@ -48,7 +48,7 @@
         val all = usable.map { candidate(request, it, rankOf(it), demanded, now) }
         // Requests that leave the region take slots from those that don't have to, so they must gain by it.
         val candidates = all.filter { !hasNear || it.isDemanded || isWorthLeaving(request, it, now) }.ifEmpty { all }
-        val free = candidates.filter { hasRoom(it, now) && mayUse(it.load, now) }.minByOrNull { it.cost }
+        val free = candidates.filter { hasRoom(it, now) && mayUse(it.load, hasNear, now) }.minByOrNull { it.cost }
         val soonest = candidates.minBy { it.cost }
         // A target that this VM may not use now, although it has room, is not worth waiting for.
         val best = if (free != null && hasRoom(soonest, now)) free else soonest
@@ -85,14 +85,11 @@
         return occupied < (if (inTime) REMOTE_OCCUPANCY else LATE_REMOTE_OCCUPANCY)
     }
 
-    private fun mayUse(load: TargetLoad, now: MonotonicTime): Boolean {
+    private fun mayUse(load: TargetLoad, hasNear: Boolean, now: MonotonicTime): Boolean {
         val region = capacity.regionOf(load)
-        if (region != null &&
-            capacity.isRemote(load) &&
-            !shift.allows(region, capacity.lostSlots(now), now)
-        ) {
-            return false
-        }
+        // Requests of a region without targets leave it or are refused, whatever share left it before.
+        val leavesByChoice = region != null && hasNear && capacity.isRemote(load)
+        if (region != null && leavesByChoice && !shift.allows(region, capacity.lostSlots(now), now)) return false
         return !load.isCold(now) || coldLimit.allows(load, now)
     }
 
--- a/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
@@ -162,6 +162,24 @@
             repeat(2) { pool.send(START).target.zone shouldBe NEAR }
         }
 
+        // Guards against refusals as too late of all requests whose region has just lost its targets.
+        test("a region without targets waits for those of other regions") {
+            val pool = pool(target("far", zone = FAR, slots = 1))
+            pool.offer(request(START, goal = 2.seconds, deadline = 5.seconds), START)
+                .shouldBeInstanceOf<Placement.Send>()
+            pool.offer(request(START, goal = 2.seconds, deadline = 5.seconds), START)
+                .shouldBeInstanceOf<Placement.Wait>()
+        }
+
+        // Guards against refusals while a slot of another region idles that could still serve the request.
+        test("a request that can't wait for its own region takes a free slot of another one") {
+            val pool = pool(target("near", slots = 1), target("far", zone = FAR, slots = 4))
+            pool.learn(1, 300.milliseconds)
+            val zones = List(20) { pool.offer(request(START), START) }
+                .filterIsInstance<Placement.Send>().map { it.target.zone }
+            zones shouldContain FAR
+        }
+
         test("what other VMs have in flight counts, so that they do not all choose the same target") {
             val pool = pool(target("a", slots = 2), target("b", slots = 2))
             pool.updateAnnounced { if (it == "a") 3.0 else 0.0 }
