Read closes of callers before a send while the event loop lags

Cause: a turn of the event loop that takes long, as in a VM that just started with many requests waiting, sends on requests whose callers left during the turn; their closes are read in the next one. Change: a send waits for one turn if the timers of the loop are over 60 ms late.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -55,6 +55,7 @@
     private val trips = TripTimes(settings.placement)
     private val lanes = HashMap<ServiceName, ServiceLane>()
     private val callerConnections = CallerConnections(clock)
+    private val turns = EventLoopTurns(clock)
     private var leaving = false
 
     private val feeds = FleetFeeds(
@@ -84,6 +85,7 @@
         log = log,
         metrics = metrics,
         clock = clock,
+        turns = turns,
         members = { membership.limitHolders(clock()).size },
         connectionLimit = ::connectionLimit,
         connectTimeout = { trips.of(it.zone) * CONNECT_TRIPS + CONNECT_MINIMUM },
@@ -172,6 +174,7 @@
         var lastSlowTick = clock()
         while (true) {
             delay(TICK)
+            turns.timerFired()
             val now = clock()
             announce(now)
             for (lane in lanes.values) if (lane.pool.queueLength > 0) lane.pump()
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/WarmUp.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/WarmUp.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.anvilshed.core.MonotonicTime
 import org.anvilshed.core.RegionName
 import org.anvilshed.core.ServiceName
 import org.anvilshed.core.SocketAddress
@@ -108,6 +109,8 @@
             log = log,
             metrics = metrics,
             clock = clock,
+            // No caller of the warm-up leaves, so its requests need not wait for a turn of the event loop.
+            turns = EventLoopTurns { MonotonicTime(0) },
             members = { 1 },
             connectionLimit = { CONCURRENCY },
             connectTimeout = { 1.seconds },
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestDispatcher.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestDispatcher.kt
@@ -12,6 +12,7 @@
 import org.anvilshed.core.placement.PlacementRequest
 import org.anvilshed.gateway.Clock
 import org.anvilshed.gateway.DecisionLog
+import org.anvilshed.gateway.EventLoopTurns
 import org.anvilshed.gateway.GatewayMetrics
 import org.anvilshed.gateway.RequestHeaders
 import org.anvilshed.gateway.targets.ExchangeResult
@@ -55,6 +56,7 @@
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
     private val clock: Clock,
+    private val turns: EventLoopTurns,
     private val members: () -> Int,
     private val connectionLimit: (ServiceName) -> Int,
     private val connectTimeout: (FleetTarget) -> Duration,
@@ -121,6 +123,7 @@
     private suspend fun attempt(lane: ServiceLane, request: DispatchedRequest, send: Placement.Send): AttemptResult {
         var end: FlightEnd = FlightEnd.Cancelled
         try {
+            turns.readSocketsIfLate()
             val idempotent = request.placement.requestClass.idempotent
             val freshness = if (idempotent) Duration.INFINITE else NON_IDEMPOTENT_FRESHNESS
             val limit = connectionLimit(request.service)
