Bind the share that leaves a region also for VMs with few requests

The band of a VM with fewer than 20 requests in a window took 0.3 as the former share of each other region, so each of two might get 0.39. Ruled out: regions without targets. Change: the former share is always counted, and the share for all other regions together is bound as well. Test: 'a VM with few requests keeps the share that leaves for all other regions within the cap'.

--- a/core/src/test/kotlin/org/anvilshed/core/placement/LoadPlayer.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/LoadPlayer.kt
@@ -139,7 +139,8 @@
 
     private fun newVm(name: String, region: String): Vm {
         val settings = PlacementSettings(ZoneName(region), regionsOfZones, 0.2, 10.seconds, 56.0, 1.5, 5.0, 0.15)
-        val pool = ServicePool(name, settings, ShiftBand(settings.maximumShift)) { zone -> trip(region, zone.value) }
+        val band = ShiftBand(settings.maximumShift, RegionName(region))
+        val pool = ServicePool(name, settings, band) { zone -> trip(region, zone.value) }
         pool.updateTargets(targets.map { it.entry }, emptySet(), now)
         return Vm(name, region, pool)
     }
--- a/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
@@ -60,7 +60,8 @@
 )
 
 private fun pool(vararg targets: FleetTarget): ServicePool {
-    val pool = ServicePool("vm", SETTINGS, ShiftBand(0.15)) { if (it == NEAR) 1.milliseconds else 100.milliseconds }
+    val band = ShiftBand(0.15, RegionName("home"))
+    val pool = ServicePool("vm", SETTINGS, band) { if (it == NEAR) 1.milliseconds else 100.milliseconds }
     pool.updateTargets(targets.toList(), emptySet(), START - 10.seconds)
     pool.updatePolicy(ServicePolicy(100, 3.seconds, 10.0), listOf("vm"))
     return pool
--- a/core/src/test/kotlin/org/anvilshed/core/placement/ShiftBandTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/ShiftBandTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import org.anvilshed.core.MonotonicTime
 import org.anvilshed.core.RegionName
 import kotlin.math.abs
@@ -14,7 +15,7 @@
 class ShiftBandTest :
     FunSpec({
         test("the share of moved requests changes by at most the cap from window to window, up and down") {
-            val band = ShiftBand(0.15)
+            val band = ShiftBand(0.15, HOME)
             val sent = ArrayList<Pair<MonotonicTime, RegionName>>()
             var now = MonotonicTime(0)
             repeat(6_000) { number ->
@@ -40,4 +41,22 @@
                 change shouldBeLessThanOrEqual 0.15
             }
         }
+
+        // Guards against VMs with few requests that move nearly half of them, half to each of two other regions.
+        test("a VM with few requests keeps the share that leaves for all other regions within the cap") {
+            val band = ShiftBand(0.15, HOME)
+            var now = MonotonicTime(0)
+            repeat(10) {
+                now += 200.milliseconds
+                band.recordSent(HOME, now)
+            }
+            var moved = 0
+            repeat(10) {
+                now += 200.milliseconds
+                val region = listOf(REMOTE, RegionName("third")).firstOrNull { band.allows(it, isForced = false, now) }
+                if (region != null) moved++
+                band.recordSent(region ?: HOME, now)
+            }
+            moved shouldBeLessThanOrEqual 2
+        }
     })
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -51,7 +51,7 @@
     private val state = IngressState()
     private val directory = TargetDirectory()
     private val membership = Membership(settings.name)
-    private val shift = ShiftBand(settings.placement.maximumShift)
+    private val shift = ShiftBand(settings.placement.maximumShift, settings.region)
     private val trips = TripTimes(settings.placement)
     private val lanes = HashMap<ServiceName, ServiceLane>()
     private val callerConnections = CallerConnections(clock)
