Serve pipelined requests at once, judge the framing of each, and bound streams, bodies and the stop

Cause: the HTTP server of Vert.x hands a request on only after the response before it, so requests sent ahead waited for each other; RequestHeadGuard looked at the first bytes after a response and skipped heads behind a request, so Content-Length plus Transfer-Encoding passed there and the middle of a body was taken for a head. A streamed response left its target connection neither pooled nor closed, freed its slot at the start, had no time limit and did not end when the caller left. Bodies were held without a bound over all requests.

Change: CallerServer and CallerConnection speak HTTP/1.1 over Netty's decoder. A non-idempotent request waits for its turn, as a response that closes the connection makes its caller send it again. Framing is judged by the decoder for each head. Forwarding covers the stream: slot, deadline, caller's close. Bodies and held responses share 32 MiB each; a response beyond that is streamed, a body beyond it is refused (503).

--- a/core/src/main/kotlin/org/anvilshed/core/placement/InFlightRequest.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/InFlightRequest.kt
@@ -48,8 +48,14 @@
      *
      * @property failed whether the answer reports a failure of the target.
      * @property report load that the target reported, or `null` if the answer has no report.
+     * @property answeredAt when the answer began to arrive, if the caller decided how long the rest took; otherwise
+     *   `null`.
      */
-    public data class Answered(public val failed: Boolean, public val report: LoadReport?) : TargetOutcome
+    public data class Answered(
+        public val failed: Boolean,
+        public val report: LoadReport?,
+        public val answeredAt: MonotonicTime? = null,
+    ) : TargetOutcome
 
     /**
      * The target answered that it did not run the request.
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
@@ -114,8 +114,9 @@
 
     /** Records at [now] the [outcome] of [inFlight]. */
     public fun finish(inFlight: InFlightRequest, outcome: TargetOutcome, now: MonotonicTime) {
+        val answeredAt = (outcome as? TargetOutcome.Answered)?.answeredAt ?: now
         val processingTime =
-            (now - inFlight.sentAt - roundTripTime(inFlight.load.target.zone)).coerceAtLeast(1.milliseconds)
+            (answeredAt - inFlight.sentAt - roundTripTime(inFlight.load.target.zone)).coerceAtLeast(1.milliseconds)
         val isSample =
             outcome is TargetOutcome.Answered && !outcome.failed && inFlight.hadFreeSlot && !inFlight.load.isCold(now)
         inFlight.load.recordOutcome(inFlight, outcome, if (isSample) learn(inFlight, processingTime) else null, now)
--- a/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.comparables.shouldBeGreaterThan
+import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -87,6 +88,21 @@
 
 class ServicePoolTest :
     FunSpec({
+        test("the time in which a caller reads a streamed response does not count as processing time") {
+            val pool = pool(target("a"), target("b"))
+            pool.learn(1, 300.milliseconds)
+            val learned = pool.offer(request(START), START).shouldBeInstanceOf<Placement.Send>()
+            repeat(20) { number ->
+                val sentAt = START + 3.seconds * number
+                val send = pool.offer(request(sentAt), sentAt).shouldBeInstanceOf<Placement.Send>()
+                val answered = TargetOutcome.Answered(false, null, answeredAt = sentAt + 100.milliseconds)
+                pool.finish(send.inFlight, answered, sentAt + 2.seconds)
+            }
+            val later = START + 70.seconds
+            val next = pool.offer(request(later), later).shouldBeInstanceOf<Placement.Send>()
+            (next.inFlight.expectedTime - learned.inFlight.expectedTime).absoluteValue shouldBeLessThan 20.milliseconds
+        }
+
         test("requests wait for a full service, and the most urgent is served first, whatever the order of arrival") {
             val pool = pool(target("a", slots = 1))
             listOf(0, 1, 2).forEach { pool.learn(it, 1.seconds) }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -3,7 +3,6 @@
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpClientOptions
 import io.vertx.core.http.HttpServer
-import io.vertx.core.http.HttpServerOptions
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.PoolOptions
 import io.vertx.kotlin.coroutines.coAwait
@@ -20,6 +19,8 @@
 import org.anvilshed.core.placement.ServicePool
 import org.anvilshed.core.placement.SharedRetryBudget
 import org.anvilshed.core.placement.ShiftChangeLimiter
+import org.anvilshed.gateway.callers.CallerRequest
+import org.anvilshed.gateway.callers.CallerServer
 import org.anvilshed.gateway.peers.Announcement
 import org.anvilshed.gateway.peers.AnnouncementExchange
 import org.anvilshed.gateway.peers.AnnouncementSocket
@@ -57,7 +58,6 @@
     private val shift = ShiftChangeLimiter(settings.placement.maximumShift, settings.region)
     private val roundTripTimes = RoundTripTimes(settings.placement)
     private val serviceQueues = HashMap<ServiceName, ServiceQueue>()
-    private val callerConnections = CallerConnections(clock)
     private val eventLoopMonitor = EventLoopMonitor(clock)
     private var isLeaving = false
 
@@ -93,7 +93,14 @@
         connectionLimit = ::connectionLimit,
         connectTimeout = { roundTripTimes.estimate(it.zone) * CONNECT_ROUND_TRIPS + MINIMUM_CONNECT_TIME },
     )
-    private val handler = CallerRequestHandler(scope, state, forwarder, headerNames, log, metrics, clock) { isLeaving }
+    private val handler = CallerRequestHandler(scope, state, forwarder, headerNames, log, metrics, clock)
+    private val callers = CallerServer(
+        vertx = vertx,
+        clock = clock,
+        limits = { state.currentOrNull?.config?.callerLimits },
+        isLeaving = { isLeaving },
+        serve = ::serveCaller,
+    )
     private val snapshots = PeerSnapshots(vertx, feeds.byKind)
     private val socket =
         AnnouncementSocket(
@@ -114,7 +121,7 @@
     public suspend fun start() {
         socket.open()
         listen(settings.listen.control) { snapshots.handle(it) }
-        listen(settings.listen.callers, callerOptions()) { serveCaller(it) }
+        callers.listen(settings.listen.callers)
         for (feed in feeds.byKind.values) scope.launch { feed.run() }
         scope.launch { registration.run() }
         scope.launch { runTicks() }
@@ -128,16 +135,8 @@
      *
      * @throws java.io.IOException if the address can't be bound.
      */
-    public suspend fun listen(
-        address: SocketAddress,
-        options: HttpServerOptions = HttpServerOptions(),
-        handle: (HttpServerRequest) -> Unit,
-    ): HttpServer {
-        val server = vertx.createHttpServer(options)
-        if (address == settings.listen.callers) server.connectionHandler { callerConnections.opened(it) }
-        server.requestHandler { handle(it) }
-        return server.listen(address.port, address.host).coAwait()
-    }
+    public suspend fun listen(address: SocketAddress, handle: (HttpServerRequest) -> Unit): HttpServer =
+        vertx.createHttpServer().requestHandler { handle(it) }.listen(address.port, address.host).coAwait()
 
     /** Returns the addresses that a caller in [zone] of [region] may use for [GatewaySettings.lookupTimeToLive]. */
     public fun lookUp(zone: ZoneName?, region: RegionName?): List<SocketAddress> {
@@ -158,11 +157,13 @@
         val stopAt = clock() + settings.stopTimeout - STOP_MARGIN
         val servesUntil = clock() + settings.lookupTimeToLive + LOOKUP_IN_TRANSIT_TIME
         isLeaving = true
-        log.info("leaving", "active_requests" to handler.activeCount, "connections" to callerConnections.count)
+        log.info("leaving", "active_requests" to handler.activeCount, "connections" to callers.connectionCount)
         announceNow()
         scope.launch { registration.withdraw() }
         while (clock() < servesUntil && clock() < stopAt) delay(STOP_POLL_PERIOD)
-        while (handler.activeCount > 0 && clock() < stopAt) delay(STOP_POLL_PERIOD)
+        // Callers with outdated lookup answers would otherwise keep this VM busy until it is killed.
+        callers.stopAccepting()
+        while ((callers.isBusy || handler.activeCount > 0) && clock() < stopAt) delay(STOP_POLL_PERIOD)
         log.info("stopped", "unfinished_requests" to handler.activeCount)
     }
 
@@ -171,17 +172,8 @@
     private fun ownEntry(): List<EntryVm> =
         if (isReady) listOf(EntryVm(settings.listen.callers, settings.placement.zone)) else emptyList()
 
-    private fun callerOptions(): HttpServerOptions =
-        HttpServerOptions().setMaxHeaderSize(MAXIMUM_HEADER_BYTES).setMaxInitialLineLength(MAXIMUM_HEADER_BYTES)
-            .setTcpNoDelay(true).setAcceptBacklog(ACCEPT_BACKLOG).setCompressionSupported(false)
-            // With detection of HTTP/2, the first bytes of a connection would reach the decoder without the head guard.
-            .setHttp2ClearTextEnabled(false)
-
-    private fun serveCaller(request: HttpServerRequest) {
-        val connection = request.connection()
-        callerConnections.requestStarted(connection)
-        request.response().endHandler { callerConnections.requestEnded(connection) }
-        handler.handle(request)
+    private fun serveCaller(request: CallerRequest) {
+        if (callers.isAccepting) handler.handle(request) else handler.refuse(request, "leaving")
     }
 
     private fun connectionLimit(service: ServiceName): Int {
@@ -212,7 +204,7 @@
         }
         refreshPolicies(now)
         connections.closeUnused(directory.targets.mapTo(HashSet()) { it.key }, now)
-        state.currentOrNull?.let { callerConnections.closeStalled(it.config.callerLimits, now) }
+        callers.closeStalled(now)
         metrics.setGauges(serviceQueues.values.sumOf { it.pool.queueLength }, entryVms.live(now).size + 1)
     }
 
@@ -293,7 +285,6 @@
         val LOOKUP_IN_TRANSIT_TIME = 500.milliseconds
         const val LOOKUP_ADDRESS_LIMIT = 64
         const val MAXIMUM_HEADER_BYTES = 65_536
-        const val ACCEPT_BACKLOG = 1024
         const val CONNECT_ROUND_TRIPS = 3
         val MINIMUM_CONNECT_TIME = 150.milliseconds
     }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/WarmUp.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/WarmUp.kt
@@ -27,6 +27,7 @@
 import org.anvilshed.core.placement.ServicePool
 import org.anvilshed.core.placement.SharedRetryBudget
 import org.anvilshed.core.placement.ShiftChangeLimiter
+import org.anvilshed.gateway.callers.CallerServer
 import org.anvilshed.gateway.requests.CallerRequestHandler
 import org.anvilshed.gateway.requests.RequestForwarder
 import org.anvilshed.gateway.requests.ServiceQueue
@@ -55,30 +56,31 @@
     public suspend fun run(count: Int, limit: Duration) {
         val startedAt = clock()
         val target = vertx.createHttpServer().requestHandler(::respondAsTarget).listen(0, host).coAwait()
-        val proxy = openProxy(target)
+        val proxy = newProxy(target)
+        val proxyPort = proxy.listen(SocketAddress(host, 0))
         val client = vertx.createHttpClient(HttpClientOptions(), PoolOptions().setHttp1MaxSize(CONCURRENCY))
         var completed = 0
         withTimeoutOrNull(limit) {
             for (worker in 0 until CONCURRENCY) {
                 launch {
                     for (number in worker until count step CONCURRENCY) {
-                        request(client, proxy, number)
+                        request(client, proxyPort, number)
                         completed++
                     }
                 }
             }
         }
         client.close().coAwait()
-        proxy.close().coAwait()
+        proxy.close()
         target.close().coAwait()
         log.info("warmed-up", "requests" to completed, "took_ms" to (clock() - startedAt).inWholeMilliseconds)
     }
 
-    private suspend fun request(client: io.vertx.core.http.HttpClient, proxy: HttpServer, number: Int) {
+    private suspend fun request(client: io.vertx.core.http.HttpClient, proxyPort: Int, number: Int) {
         val method = if (number % 2 == 0) HttpMethod.GET else HttpMethod.POST
         val options = RequestOptions().setMethod(
             method,
-        ).setHost(host).setPort(proxy.actualPort()).setURI("$PREFIX$number")
+        ).setHost(host).setPort(proxyPort).setURI("$PREFIX$number")
             .putHeader(headerNames.requestId, "warm-up-$number").putHeader(headerNames.deadlineMillis, "5000")
             .putHeader(headerNames.affinityKey, "${number % OBJECTS}")
         val request = client.request(options).coAwait()
@@ -91,7 +93,7 @@
             .putHeader(headerNames.targetLoad, "1,0,$CONCURRENCY").end("warm-up")
     }
 
-    private suspend fun openProxy(target: HttpServer): HttpServer {
+    private fun newProxy(target: HttpServer): CallerServer {
         val zone = ZoneName("warm-up")
         val placement =
             PlacementSettings(zone, mapOf(zone to RegionName("warm-up")), 0.0, 10.seconds, 0.0, 1.0, 1.0, 0.0)
@@ -117,8 +119,8 @@
             connectTimeout = { 1.seconds },
         )
         val state = IngressState().apply { replace(config()) }
-        val handler = CallerRequestHandler(scope, state, forwarder, headerNames, log, metrics, clock) { false }
-        return vertx.createHttpServer().requestHandler { handler.handle(it) }.listen(0, host).coAwait()
+        val handler = CallerRequestHandler(scope, state, forwarder, headerNames, log, metrics, clock)
+        return CallerServer(vertx, clock, { state.currentOrNull?.config?.callerLimits }, { false }, handler::handle)
     }
 
     private fun config(): IngressConfig {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
@@ -1,7 +1,8 @@
 package org.anvilshed.gateway.requests
 
-import io.vertx.core.http.HttpServerRequest
-import io.vertx.core.http.HttpServerResponse
+import io.netty.handler.codec.TooLongFrameException
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpHeaders
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
@@ -17,8 +18,14 @@
 import org.anvilshed.gateway.DecisionLog
 import org.anvilshed.gateway.GatewayMetrics
 import org.anvilshed.gateway.IngressState
+import org.anvilshed.gateway.MemoryBudget
 import org.anvilshed.gateway.MonotonicClock
 import org.anvilshed.gateway.RequestHeaderNames
+import org.anvilshed.gateway.callers.BodyResult
+import org.anvilshed.gateway.callers.CallerRequest
+import org.anvilshed.gateway.callers.RequestEnd
+import org.anvilshed.gateway.callers.ResponseHead
+import org.anvilshed.gateway.targets.ExchangeResult
 import org.anvilshed.gateway.targets.TargetRequest
 import java.util.Locale
 import kotlin.random.Random
@@ -28,8 +35,6 @@
 /**
  * Serves the requests of callers: finds the route, forwards the request to a target through [forwarder] and writes the
  * final response. Confined to the event loop.
- *
- * @param isLeaving whether this VM is shutting down; responses then close the caller's connection.
  */
 internal class CallerRequestHandler(
     private val scope: CoroutineScope,
@@ -39,8 +44,8 @@
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
     private val clock: MonotonicClock,
-    private val isLeaving: () -> Boolean,
 ) {
+    private val responseMemoryBudget = MemoryBudget(RESPONSE_MEMORY_BYTES)
     private val usualDeadlines = HashMap<WorkloadClass, TimeLimitEstimator>()
 
     /** Number of requests in progress. */
@@ -48,70 +53,84 @@
         private set
 
     /** Serves [request]; must be called in the event loop iteration in which the request arrived. */
-    fun handle(request: HttpServerRequest) {
-        val arrivedAt = clock()
+    fun handle(request: CallerRequest): Unit = launch(request) { replyTo(it) }
+
+    /** Refuses [request] for [reason]; its caller may try another VM at once. */
+    fun refuse(request: CallerRequest, reason: String): Unit =
+        launch(request) { Reply.NotRun(SERVICE_UNAVAILABLE, reason, OTHER_VM_RETRY_AFTER) }
+
+    private fun launch(request: CallerRequest, decide: suspend (CallerExchange) -> Reply) {
         activeCount++
-        val exchange = CallerExchange(request, arrivedAt)
-        val job = scope.launch(start = CoroutineStart.LAZY) { serve(exchange) }
-        job.invokeOnCompletion { activeCount-- }
-        request.response().closeHandler { cancelAfterDisconnect(exchange, job) }
-        request.response().exceptionHandler { cancelAfterDisconnect(exchange, job) }
+        val exchange = CallerExchange(request)
+        val job = scope.launch(start = CoroutineStart.LAZY) {
+            // Lets a connection close that was read together with the request be handled first, which cancels the job.
+            yield()
+            writeReply(exchange, decide(exchange))
+        }
+        job.invokeOnCompletion {
+            activeCount--
+            request.releaseBody()
+            exchange.responseMemory.release()
+        }
+        request.onAborted = { end -> cancel(exchange, job, end) }
         job.start()
     }
 
-    private inner class CallerExchange(val request: HttpServerRequest, val arrivedAt: MonotonicTime) {
-        val id: String? = request.getHeader(headerNames.requestId)
+    private inner class CallerExchange(val request: CallerRequest) {
+        val arrivedAt: MonotonicTime = request.arrivedAt
+        val id: String? = request.header(headerNames.requestId)
         val active: ActiveConfig? = state.currentOrNull
-        val route: IngressRoute? = active?.routes?.findOrNull(
-            request.getHeader("Host").orEmpty(),
-            request.path().orEmpty(),
-        )
-
-        // Handlers for the body must be set in the event loop iteration of the request; the coroutine may start later.
-        val body = readBody(request, active?.config?.callerLimits?.maximumBodyBytes ?: 0L)
+        val route: IngressRoute? = active?.routes?.findOrNull(request.header("Host").orEmpty(), request.path)
+        val responseMemory = responseMemoryBudget.newReservation()
         var forwarded: ForwardedRequest? = null
     }
 
-    private fun cancelAfterDisconnect(exchange: CallerExchange, job: Job) {
+    private fun cancel(exchange: CallerExchange, job: Job, end: RequestEnd) {
         if (!job.isActive) return
         val forwarded = exchange.forwarded
+        log.request(
+            end.label,
+            "id" to exchange.id,
+            "at_target" to (forwarded?.isAtTarget == true),
+            "target" to forwarded?.lastTarget,
+            "waited_ms" to (clock() - exchange.arrivedAt).inWholeMilliseconds,
+        )
         // A non-idempotent request that a target already has is allowed to complete there.
         if (exchange.route?.idempotent == false && forwarded?.isAtTarget == true) {
             forwarded.hasCallerLeft = true
             return
         }
         metrics.countReply("cancelled")
-        log.request(
-            "caller-left",
-            "id" to exchange.id,
-            "waited_ms" to (clock() - exchange.arrivedAt).inWholeMilliseconds,
-        )
         job.cancel()
     }
 
-    private suspend fun serve(exchange: CallerExchange) {
-        // Lets a connection close that was read together with the request be handled first, which cancels the job.
-        yield()
-        val reply = replyTo(exchange)
-        writeReply(exchange, reply)
-    }
-
     private suspend fun replyTo(exchange: CallerExchange): Reply {
+        exchange.request.fault?.let { return invalidHead(it) }
         val active = exchange.active ?: return Reply.NotRun(SERVICE_UNAVAILABLE, "no-config", DEFAULT_RETRY_AFTER)
         val route = exchange.route ?: return Reply.Failed(NOT_FOUND, "no-route")
         headErrorOrNull(exchange, active)?.let { return it }
-        val callerLimit = exchange.request.getHeader(headerNames.deadlineMillis)?.toLong()?.milliseconds
+        val callerLimit = exchange.request.header(headerNames.deadlineMillis)?.toLong()?.milliseconds
         val timeout = minOf(callerLimit ?: route.timeout, route.timeout)
-        val body = withTimeoutOrNull(timeout) { exchange.body.await() }
+        val body = withTimeoutOrNull(timeout) { exchange.request.body.await() }
         if (body !is BodyResult.Read) return bodyError(body)
         val forwarded = forwardedRequest(exchange, active, route, callerLimit, body)
         exchange.forwarded = forwarded
         val remaining = exchange.arrivedAt + timeout - clock()
-        return withTimeoutOrNull(remaining) { forwarder.forward(forwarded) } ?: timedOut(forwarded)
+        return withTimeoutOrNull(remaining) {
+            // The response to an earlier request may close the connection, and the caller then sends this one again.
+            if (!route.idempotent) exchange.request.awaitTurn()
+            forwarder.forward(forwarded)
+        } ?: timedOut(forwarded)
+    }
+
+    private fun invalidHead(fault: Throwable): Reply = if (fault is TooLongFrameException) {
+        Reply.Failed(HEADERS_TOO_LARGE, "headers-too-large")
+    } else {
+        Reply.Failed(BAD_REQUEST, "malformed-head")
     }
 
     private fun headErrorOrNull(exchange: CallerExchange, active: ActiveConfig): Reply? {
-        val deadline: String? = exchange.request.getHeader(headerNames.deadlineMillis)
+        val deadline: String? = exchange.request.header(headerNames.deadlineMillis)
         val isDeadlineValid = deadline == null || deadline.toLongOrNull()?.let { it >= 0 } == true
         return when {
             exchange.id == null -> Reply.Failed(BAD_REQUEST, "no-request-id")
@@ -129,6 +148,7 @@
     private fun bodyError(body: BodyResult?): Reply = when (body) {
         null -> Reply.NotRun(REQUEST_TIMEOUT, "body-late", null)
         BodyResult.TooLong -> Reply.Failed(BODY_TOO_LARGE, "body-too-large")
+        BodyResult.NoMemory -> Reply.NotRun(SERVICE_UNAVAILABLE, "no-body-memory", DEFAULT_RETRY_AFTER)
         else -> Reply.Failed(BAD_REQUEST, "body-broken")
     }
 
@@ -146,18 +166,20 @@
                 workloadClass = workloadClass,
                 startedAt = exchange.arrivedAt - timeSinceFirstAttempt(workloadClass, callerLimit),
                 deadline = exchange.arrivedAt + minOf(callerLimit ?: route.timeout, route.timeout),
-                affinityKey = if (route.sticky) request.getHeader(headerNames.affinityKey) else null,
+                affinityKey = if (route.sticky) request.header(headerNames.affinityKey) else null,
                 homeRegions = route.homeRegions,
             ),
             service = active.rotation(route.name).next(),
             maximumAttempts = route.maximumAttempts,
             target = TargetRequest(
                 id = exchange.id.orEmpty(),
-                method = request.method(),
-                uri = request.uri(),
-                headers = endToEndHeaders(request.headers()),
+                method = request.method,
+                uri = request.uri,
+                headers = endToEndHeaders(request.headers),
                 body = body.body,
             ),
+            responseMemory = exchange.responseMemory,
+            deliverStream = { streamBody(exchange, it) },
         )
     }
 
@@ -167,71 +189,82 @@
         return usualDeadlines.getOrPut(workloadClass) { TimeLimitEstimator() }.observe(callerLimit)
     }
 
-    private fun timedOut(request: ForwardedRequest): Reply = if (request.mayHaveRun) {
-        Reply.Failed(GATEWAY_TIMEOUT, "target-late")
-    } else {
-        Reply.NotRun(SERVICE_UNAVAILABLE, "no-slot-in-time", DEFAULT_RETRY_AFTER)
+    private fun timedOut(request: ForwardedRequest): Reply = when {
+        request.isStreaming -> Reply.Streamed(isComplete = false)
+        request.mayHaveRun -> Reply.Failed(GATEWAY_TIMEOUT, "target-late")
+        else -> Reply.NotRun(SERVICE_UNAVAILABLE, "no-slot-in-time", DEFAULT_RETRY_AFTER)
     }
 
     private suspend fun writeReply(exchange: CallerExchange, reply: Reply) {
-        val response = exchange.request.response()
-        val waited = clock() - exchange.arrivedAt
-        logReply(exchange, reply, waited)
-        if (response.closed() || response.ended()) return
-        if (isLeaving()) response.putHeader("Connection", "close")
-        when (reply) {
+        logReply(exchange, reply, clock() - exchange.arrivedAt)
+        val isDelivered = when (reply) {
             is Reply.FromTarget -> {
-                response.setStatusCode(reply.result.status)
-                response.headers().addAll(endToEndHeaders(reply.result.headers))
-                response.end(reply.result.body)
+                val headers = reply.result.headers
+                val length: String? = headers.get(HttpHeaders.CONTENT_LENGTH)
+                val head = ResponseHead(reply.result.status, endToEndHeaders(headers), length)
+                exchange.request.respond(head, reply.result.body)
             }
 
-            is Reply.Streamed -> streamBody(exchange, reply, response)
+            // The body was written while the request was forwarded.
+            is Reply.Streamed -> true
 
-            is Reply.NotRun -> {
-                reply.retryAfter?.let { response.putHeader("Retry-After", jitteredRetryAfter(it)) }
-                writeError(exchange, response, reply.status, reply.reason)
-            }
+            is Reply.NotRun -> writeError(exchange, reply.status, reply.reason, reply.retryAfter)
 
-            is Reply.Failed -> writeError(exchange, response, reply.status, reply.reason)
+            is Reply.Failed -> writeError(exchange, reply.status, reply.reason, null)
         }
+        if (!isDelivered) log.request("response-not-delivered", "id" to exchange.id)
     }
 
-    private fun writeError(exchange: CallerExchange, response: HttpServerResponse, status: Int, reason: String) {
-        exchange.id?.let { response.putHeader(headerNames.requestId, it) }
-        // On a connection that stays open, the unread rest of the body would be parsed as the next request.
-        if (!exchange.body.isCompleted || status == BODY_TOO_LARGE) response.putHeader("Connection", "close")
-        response.putHeader("Content-Type", "application/json")
-        response.setStatusCode(status).end("{\"error\":\"$reason\"}")
+    private suspend fun writeError(
+        exchange: CallerExchange,
+        status: Int,
+        reason: String,
+        retryAfter: Duration?,
+    ): Boolean {
+        val headers = HttpHeaders.headers()
+        exchange.id?.let { headers.add(headerNames.requestId, it) }
+        retryAfter?.let { headers.add("Retry-After", jitteredRetryAfter(it)) }
+        headers.add("Content-Type", "application/json")
+        // The decoder finds no further request behind a malformed head.
+        val closes = status == BODY_TOO_LARGE || exchange.request.fault != null
+        val head = ResponseHead(status, headers, closesConnection = closes)
+        return exchange.request.respond(head, Buffer.buffer("{\"error\":\"$reason\"}"))
     }
 
-    private suspend fun streamBody(exchange: CallerExchange, reply: Reply.Streamed, response: HttpServerResponse) {
-        val source = reply.result.response
-        response.setStatusCode(source.statusCode())
-        response.headers().addAll(endToEndHeaders(source.headers()))
-        val length = source.getHeader("Content-Length")
-        if (length != null) response.putHeader("Content-Length", length) else response.setChunked(true)
-        response.write(reply.result.head)
-        source.handler { chunk ->
-            response.write(chunk)
-            if (response.writeQueueFull()) {
-                source.pause()
-                response.drainHandler { source.resume() }
+    /**
+     * Writes a large response to the caller as fast as the caller reads it; returns whether it was complete.
+     *
+     * If the target ends the response early, or this is cancelled, the caller sees that the response is incomplete.
+     */
+    private suspend fun streamBody(exchange: CallerExchange, result: ExchangeResult.Large): Boolean {
+        val source = result.response
+        val length = source.getHeader(HttpHeaders.CONTENT_LENGTH)
+        val stream = exchange.request.startStream(
+            ResponseHead(source.statusCode(), endToEndHeaders(source.headers()), length),
+        )
+        exchange.forwarded?.isStreaming = true
+        var isComplete = false
+        try {
+            stream.write(result.head)
+            source.handler { chunk ->
+                stream.write(chunk)
+                if (stream.isFull) {
+                    source.pause()
+                    stream.onDrained { source.resume() }
+                }
             }
+            source.resume()
+            isComplete = result.ended.await()
+        } finally {
+            if (isComplete) stream.end() else stream.abort()
         }
-        source.resume()
-        if (reply.result.ended.await()) {
-            response.end()
-        } else {
-            // Closes the caller's connection, so that the caller sees that the response is incomplete.
-            exchange.request.connection().close()
-        }
+        return isComplete
     }
 
     private fun logReply(exchange: CallerExchange, reply: Reply, waited: Duration) {
         val (status, reason) = when (reply) {
             is Reply.FromTarget -> reply.result.status to "answered"
-            is Reply.Streamed -> reply.result.response.statusCode() to "streamed"
+            is Reply.Streamed -> OK to if (reply.isComplete) "streamed" else "stream-incomplete"
             is Reply.NotRun -> reply.status to reply.reason
             is Reply.Failed -> reply.status to reply.reason
         }
@@ -247,7 +280,7 @@
             "zone" to exchange.forwarded?.lastZone,
             "placement" to exchange.forwarded?.placementReason,
             "sent_after_ms" to exchange.forwarded?.sentAt?.let { (it - exchange.arrivedAt).inWholeMilliseconds },
-            "object" to exchange.request.getHeader(headerNames.affinityKey),
+            "object" to exchange.request.header(headerNames.affinityKey),
             "sends" to exchange.forwarded?.sendCount,
             "status" to status,
             "reason" to reason,
@@ -262,10 +295,11 @@
         return String.format(Locale.ROOT, "%.3f", jittered.inWholeMilliseconds / MILLISECONDS_PER_SECOND)
     }
 
-    private fun headerBytes(request: HttpServerRequest): Int =
-        request.headers().sumOf { it.key.length + it.value.length + HEADER_SEPARATOR_BYTES } + request.uri().length
+    private fun headerBytes(request: CallerRequest): Int =
+        request.headers.sumOf { it.key.length + it.value.length + HEADER_SEPARATOR_BYTES } + request.uri.length
 
     private companion object {
+        const val OK = 200
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
         const val REQUEST_TIMEOUT = 408
@@ -274,11 +308,17 @@
         const val SERVICE_UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
 
+        /** Memory for responses that are held whole; further responses are streamed. A sixth of the heap. */
+        const val RESPONSE_MEMORY_BYTES = 32L * 1024 * 1024
+
         /** Bytes for colon, space and line end of a header line. */
         const val HEADER_SEPARATOR_BYTES = 4
         const val RETRY_JITTER_FACTOR = 1.5
         const val MILLISECONDS_PER_SECOND = 1000.0
 
+        /** Time for the caller to open a connection to another VM. */
+        val OTHER_VM_RETRY_AFTER = 10.milliseconds
+
         /** A VM that has just started receives its config within about this time. */
         val DEFAULT_RETRY_AFTER = 200.milliseconds
     }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/Reply.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/Reply.kt
@@ -8,8 +8,12 @@
     /** Response of a target, forwarded unchanged. */
     class FromTarget(val result: ExchangeResult.Complete) : Reply
 
-    /** Large response of a target, forwarded chunk by chunk as it arrives. */
-    class Streamed(val result: ExchangeResult.Large) : Reply
+    /**
+     * Large response of a target, which was already forwarded as it arrived.
+     *
+     * @property isComplete whether the whole response was forwarded; otherwise the caller's connection was reset.
+     */
+    class Streamed(val isComplete: Boolean) : Reply
 
     /**
      * The request did not run at any target and will not run later.
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
@@ -13,6 +13,7 @@
 import org.anvilshed.gateway.DecisionLog
 import org.anvilshed.gateway.EventLoopMonitor
 import org.anvilshed.gateway.GatewayMetrics
+import org.anvilshed.gateway.MemoryBudget
 import org.anvilshed.gateway.MonotonicClock
 import org.anvilshed.gateway.RequestHeaderNames
 import org.anvilshed.gateway.targets.ExchangeResult
@@ -30,12 +31,16 @@
  * @property placement what the choice of a target depends on; excludes the targets that were tried already.
  * @property maximumAttempts number of targets that may get the request.
  * @property target request as targets get it, without the headers that depend on the attempt.
+ * @property responseMemory memory for responses that are held whole.
+ * @property deliverStream forwards a large response to the caller while it arrives; returns whether it was complete.
  */
 internal class ForwardedRequest(
     var placement: PlacementRequest,
     val service: ServiceName,
     val maximumAttempts: Int,
     val target: TargetRequest,
+    val responseMemory: MemoryBudget.Reservation,
+    val deliverStream: suspend (ExchangeResult.Large) -> Boolean,
 ) {
     /** Number of targets to which the request was sent. */
     var sendCount = 0
@@ -58,6 +63,9 @@
     /** Whether the request was sent to a target that has not responded yet. */
     var isAtTarget = false
 
+    /** Whether the caller already got a part of a target's response. */
+    var isStreaming = false
+
     /** Whether the caller disconnected, so that the request must not be sent to another target. */
     var hasCallerLeft = false
 }
@@ -187,9 +195,13 @@
         val mayHaveRunBefore = request.mayHaveRun
         request.mayHaveRun = true
         request.isAtTarget = true
-        val exchange = TargetExchange(connection, withTargetHeaders(request, send), headerNames)
-        val result = try {
-            awaitResult(queue, request, send, exchange)
+        val exchange = TargetExchange(connection, withTargetHeaders(request, send), headerNames, request.responseMemory)
+        try {
+            val result = awaitResult(queue, request, send, exchange)
+            val attempt = if (result == null) targetSilent() else attemptResult(request, send, result, mayHaveRunBefore)
+            // A connection with an unread rest of a response can't be used again; closing it ends the target's work.
+            releaseOrClose(send, exchange, connection)
+            return attempt
         } catch (cancelled: CancellationException) {
             // Closing the connection tells the target to abandon the request.
             connection.close()
@@ -197,46 +209,55 @@
         } finally {
             request.isAtTarget = false
         }
-        if (result == null) {
-            connection.close()
-            return AttemptResult.Retryable(Reply.Failed(GATEWAY_TIMEOUT, "target-silent"), "target-silent") to
-                TargetOutcome.Broken
-        }
-        if (result !is ExchangeResult.Large) releaseOrClose(send, exchange, connection)
-        return when (result) {
-            is ExchangeResult.Complete -> completed(result)
+    }
 
-            is ExchangeResult.Large -> {
-                AttemptResult.Final(Reply.Streamed(result)) to TargetOutcome.Answered(failed = false, report = null)
-            }
+    private fun targetSilent(): Pair<AttemptResult, TargetOutcome> =
+        AttemptResult.Retryable(Reply.Failed(GATEWAY_TIMEOUT, "target-silent"), "target-silent") to TargetOutcome.Broken
 
-            is ExchangeResult.NotRun -> {
-                request.mayHaveRun = mayHaveRunBefore
-                metrics.countTargetFailure("not-run")
-                val end = if (result.status ==
-                    TargetExchange.MISDIRECTED
-                ) {
-                    TargetOutcome.Misdirected
-                } else {
-                    TargetOutcome.Shed(result.report)
-                }
-                AttemptResult.Retryable(replyAfterNotRun(request), "not-run") to end
+    private suspend fun attemptResult(
+        request: ForwardedRequest,
+        send: Placement.Send,
+        result: ExchangeResult,
+        mayHaveRunBefore: Boolean,
+    ): Pair<AttemptResult, TargetOutcome> = when (result) {
+        is ExchangeResult.Complete -> completed(result)
+
+        is ExchangeResult.Large -> {
+            val answeredAt = clock()
+            val isComplete = request.deliverStream(result)
+            if (!isComplete) logBroken(request, send, "streamed response ended early")
+            val outcome = if (isComplete) {
+                TargetOutcome.Answered(failed = false, report = null, answeredAt = answeredAt)
+            } else {
+                TargetOutcome.Broken
             }
+            AttemptResult.Final(Reply.Streamed(isComplete)) to outcome
+        }
 
-            is ExchangeResult.Broken -> {
-                metrics.countTargetFailure("broken")
-                log.request(
-                    "target-broken",
-                    "id" to request.target.id,
-                    "target" to send.target.key.name,
-                    "cause" to result.cause,
-                )
-                AttemptResult.Retryable(Reply.Failed(BAD_GATEWAY, "target-broken"), "target-broken") to
-                    TargetOutcome.Broken
-            }
+        is ExchangeResult.NotRun -> {
+            request.mayHaveRun = mayHaveRunBefore
+            metrics.countTargetFailure("not-run")
+            val isMisdirected = result.status == TargetExchange.MISDIRECTED
+            val outcome = if (isMisdirected) TargetOutcome.Misdirected else TargetOutcome.Shed(result.report)
+            AttemptResult.Retryable(replyAfterNotRun(request), "not-run") to outcome
+        }
+
+        is ExchangeResult.Broken -> {
+            logBroken(request, send, result.cause)
+            AttemptResult.Retryable(Reply.Failed(BAD_GATEWAY, "target-broken"), "target-broken") to TargetOutcome.Broken
         }
     }
 
+    private fun logBroken(request: ForwardedRequest, send: Placement.Send, cause: String) {
+        metrics.countTargetFailure("broken")
+        log.request(
+            "target-broken",
+            "id" to request.target.id,
+            "target" to send.target.key.name,
+            "cause" to cause,
+        )
+    }
+
     /** Reply after a target did not run [request], which may still have run at an earlier target. */
     private fun replyAfterNotRun(request: ForwardedRequest): Reply = if (request.mayHaveRun) {
         Reply.Failed(
@@ -267,7 +288,9 @@
         val canRetry = request.placement.workloadClass.idempotent &&
             request.sendCount < request.maximumAttempts &&
             remaining > responseTimeout + send.inFlight.expectedTime
-        return if (canRetry) withTimeoutOrNull(responseTimeout) { exchange.run() } else exchange.run()
+        exchange.send()
+        if (canRetry) withTimeoutOrNull(responseTimeout) { exchange.awaitHead() } ?: return null
+        return exchange.await()
     }
 
     private fun releaseOrClose(send: Placement.Send, exchange: TargetExchange, connection: TargetConnection) {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
@@ -8,6 +8,7 @@
 import io.vertx.core.http.RequestOptions
 import kotlinx.coroutines.CompletableDeferred
 import org.anvilshed.core.placement.LoadReport
+import org.anvilshed.gateway.MemoryBudget
 import org.anvilshed.gateway.RequestHeaderNames
 import kotlin.time.Duration.Companion.seconds
 
@@ -51,12 +52,18 @@
     class Broken(val cause: String) : ExchangeResult
 }
 
-/** Single exchange of a request and its response on a connection to a target. */
+/**
+ * Single exchange of a request and its response on a connection to a target.
+ *
+ * @param responseMemory memory for holding the response; a response that does not fit is streamed.
+ */
 internal class TargetExchange(
     private val connection: TargetConnection,
     private val request: TargetRequest,
     private val headerNames: RequestHeaderNames,
+    private val responseMemory: MemoryBudget.Reservation,
 ) {
+    private val headArrived = CompletableDeferred<Unit>()
     private val result = CompletableDeferred<ExchangeResult>()
     private val largeBodyEnded = CompletableDeferred<Boolean>()
     private var isRequestWritten = false
@@ -66,8 +73,8 @@
     val isConnectionReusable: Boolean
         get() = isResponseReusable && isRequestWritten && connection.isOpen
 
-    /** Sends the request and returns once the response is complete, found to be large, or has failed. */
-    suspend fun run(): ExchangeResult {
+    /** Sends the request. */
+    fun send() {
         val options = RequestOptions().setMethod(request.method).setURI(request.uri).setHeaders(request.headers)
         connection.connection.exceptionHandler { broken("connection closed") }
         connection.connection.request(options).onComplete { created ->
@@ -79,9 +86,14 @@
                 write(created.result())
             }
         }
-        return result.await()
     }
 
+    /** Suspends until the head of the response has arrived or the exchange has failed. */
+    suspend fun awaitHead(): Unit = headArrived.await()
+
+    /** Suspends until the response is complete, found to be large, or has failed. */
+    suspend fun await(): ExchangeResult = result.await()
+
     private fun write(target: HttpClientRequest) {
         target.exceptionHandler { broken("request failed: $it") }
         target.response().onComplete { head ->
@@ -98,6 +110,7 @@
             connection.close()
             return
         }
+        headArrived.complete(Unit)
         applyKeepAlive(response)
         val report = parseLoadReport(response.getHeader(headerNames.targetLoad))
         val body = Buffer.buffer()
@@ -108,8 +121,10 @@
             largeBodyEnded.complete(false)
         }
         response.handler { chunk ->
+            val isHeld =
+                body.length() + chunk.length() <= BUFFER_LIMIT_BYTES && responseMemory.tryGrow(chunk.length())
             body.appendBuffer(chunk)
-            if (body.length() > BUFFER_LIMIT_BYTES && !result.isCompleted) {
+            if (!isHeld && !result.isCompleted) {
                 response.pause()
                 result.complete(ExchangeResult.Large(response, body, largeBodyEnded))
             }
@@ -133,6 +148,7 @@
     }
 
     private fun broken(cause: String) {
+        headArrived.complete(Unit)
         result.complete(ExchangeResult.Broken(cause))
     }
 
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRequestTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRequestTest.kt
@@ -7,25 +7,11 @@
 import org.anvilshed.gateway.testbed.GatewayTestbed
 import org.anvilshed.gateway.testbed.ReceivedRequest
 import org.anvilshed.gateway.testbed.ScriptedTarget
+import org.anvilshed.gateway.testbed.withTargets
 import java.net.Socket
 import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
 
-/** Runs [test] with a gateway and one target for each of [responses], which writes the responses of that target. */
-private fun withTargets(
-    vararg responses: (ReceivedRequest, Socket) -> Unit,
-    test: (GatewayTestbed, List<ScriptedTarget>) -> Unit,
-) {
-    val targets = responses.map(::ScriptedTarget)
-    GatewayTestbed().use { testbed ->
-        testbed.config(1)
-        targets.forEachIndexed { index, target -> testbed.target("target-$index", target) }
-        testbed.awaitReady()
-        test(testbed, targets)
-    }
-    targets.forEach { it.close() }
-}
-
 private val respond: (ReceivedRequest, Socket) -> Unit = { request, socket -> ScriptedTarget.respond(socket, request) }
 
 class GatewayRequestTest :
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayStopTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayStopTest.kt
@@ -5,7 +5,9 @@
 import org.anvilshed.gateway.testbed.GatewayTestbed
 import org.anvilshed.gateway.testbed.GatewayTestbed.Companion.await
 import org.anvilshed.gateway.testbed.ScriptedTarget
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.concurrent.thread
 
 class GatewayStopTest :
@@ -48,4 +50,57 @@
             }
             target.close()
         }
+
+        // Guards against a process that is killed while callers keep sending it requests.
+        test("callers that keep sending during the stop can't delay it, and every forwarded request is answered") {
+            val target = ScriptedTarget { request, socket ->
+                Thread.sleep(300)
+                ScriptedTarget.respond(socket, request, body = request.id)
+            }
+            GatewayTestbed().use { testbed ->
+                testbed.config(1)
+                testbed.target("target", target)
+                testbed.awaitReady()
+                val answered = ConcurrentHashMap.newKeySet<String>()
+                val isStopped = AtomicBoolean()
+                val senders = List(4) { sender ->
+                    thread {
+                        var number = 0
+                        while (!isStopped.get()) {
+                            val id = "$sender-${number++}"
+                            runCatching { testbed.call("/safe/", id = id) }.onSuccess {
+                                if (it.status == 200 && it.complete) answered.add(id)
+                            }.onFailure { Thread.sleep(20) }
+                        }
+                    }
+                }
+                // Sends a request ahead whenever one is answered, so that its connection always has one in progress.
+                val pipeliner = thread {
+                    runCatching {
+                        testbed.connect().use { socket ->
+                            fun send(number: Int) = ScriptedTarget.write(
+                                socket,
+                                "GET /safe/ HTTP/1.1\r\nHost: test.example\r\nX-Id: ahead-$number\r\n\r\n",
+                            )
+                            send(0)
+                            send(1)
+                            for (number in 2..1_000) {
+                                val response = testbed.readResponse(socket)
+                                if (response.status == 200 && response.complete) answered.add("ahead-${number - 2}")
+                                if (!response.complete || response.headers["connection"] == "close") return@use
+                                send(number)
+                            }
+                        }
+                    }
+                }
+                await { answered.size >= 8 }
+                testbed.onEventLoop { testbed.gateway.stop() }
+                // The process ends here.
+                val forwarded = target.received.map { it.id }.toSet()
+                isStopped.set(true)
+                (senders + pipeliner).forEach { it.join(5_000) }
+                forwarded - answered shouldBe emptySet()
+            }
+            target.close()
+        }
     })
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
@@ -29,9 +29,11 @@
 import org.anvilshed.gateway.StoreDecoders
 import org.anvilshed.gateway.store.StoreKind
 import org.anvilshed.gateway.systemClock
+import java.io.InputStream
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.CompletableFuture
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -172,11 +174,41 @@
         }
         val lines = head.trim().lines()
         val headers = lines.drop(1).associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
+        val status = lines.first().split(' ')[1].toInt()
+        if (headers["transfer-encoding"] == "chunked") {
+            val body = StringBuilder()
+            val isComplete = readChunks(input, body)
+            return CallerResponse(status, headers, body.toString(), isComplete)
+        }
         val length = headers["content-length"]?.toInt() ?: 0
-        val body = input.readNBytes(length)
-        return CallerResponse(lines.first().split(' ')[1].toInt(), headers, String(body), body.size == length)
+        val body = runCatching { input.readNBytes(length) }.getOrDefault(ByteArray(0))
+        return CallerResponse(status, headers, String(body), body.size == length)
+    }
+
+    /** Appends the chunks of a body to [body]; returns whether the last chunk was read. */
+    private fun readChunks(input: InputStream, body: StringBuilder): Boolean {
+        while (true) {
+            val size = runCatching { readLine(input) }.getOrNull()?.toIntOrNull(radix = 16) ?: return false
+            val chunk = runCatching { input.readNBytes(size) }.getOrDefault(ByteArray(0))
+            body.append(String(chunk))
+            if (chunk.size < size || runCatching { readLine(input) }.getOrNull() != "") return false
+            if (size == 0) return true
+        }
+    }
+
+    private fun readLine(input: InputStream): String? {
+        val line = StringBuilder()
+        while (!line.endsWith("\r\n")) {
+            val byte = input.read()
+            if (byte < 0) return null
+            line.append(byte.toChar())
+        }
+        return line.removeSuffix("\r\n").toString()
     }
 
+    /** Stops the gateway on another thread; the result completes when it has stopped. */
+    fun stopInBackground(): CompletableFuture<Unit> = CompletableFuture.supplyAsync { onEventLoop { gateway.stop() } }
+
     override fun close() {
         vertx.close()
     }
@@ -196,3 +228,18 @@
         }
     }
 }
+
+/** Runs [test] with a gateway and one target for each of [responses], which writes the responses of that target. */
+fun withTargets(
+    vararg responses: (ReceivedRequest, Socket) -> Unit,
+    test: (GatewayTestbed, List<ScriptedTarget>) -> Unit,
+) {
+    val targets = responses.map(::ScriptedTarget)
+    GatewayTestbed().use { testbed ->
+        testbed.config(1)
+        targets.forEachIndexed { index, target -> testbed.target("target-$index", target) }
+        testbed.awaitReady()
+        test(testbed, targets)
+    }
+    targets.forEach { it.close() }
+}
