Read a changed settings file again, on SIGHUP and without a signal

Cause: SIGHUP was only logged, and a change without a signal was not noticed at all.

Seeds, zones, the shared limits, the time to live of lookups and the stop timeout change while running; names, addresses, ports and the retry window need a restart, which the log says. Placement reads its settings through a function.

--- a/core/src/main/kotlin/org/anvilshed/core/placement/RegionCapacity.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/RegionCapacity.kt
@@ -13,7 +13,7 @@
  * @param loads all targets of the service.
  */
 internal class RegionCapacity(
-    private val settings: PlacementSettings,
+    private val settings: () -> PlacementSettings,
     private val loads: () -> Collection<TargetLoad>,
 ) {
     private var peakSlots = 0
@@ -23,10 +23,10 @@
     var evacuated: Set<ZoneName> = emptySet()
 
     /** Returns the region of the target of [load], or `null` if the settings do not contain its zone. */
-    fun regionOf(load: TargetLoad): RegionName? = settings.regions[load.target.zone]
+    fun regionOf(load: TargetLoad): RegionName? = settings().regions[load.target.zone]
 
     /** Returns whether the target of [load] is outside the region of this VM. */
-    fun isRemote(load: TargetLoad): Boolean = regionOf(load) != settings.region
+    fun isRemote(load: TargetLoad): Boolean = regionOf(load) != settings().region
 
     /** Returns the estimated load of the region's targets as a fraction of their slots; 1 if there are no slots. */
     fun occupancy(now: MonotonicTime): Double {
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ServiceColdStartLimiter.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ServiceColdStartLimiter.kt
@@ -10,7 +10,7 @@
  *
  * @param self name of this VM.
  */
-internal class ServiceColdStartLimiter(private val self: String, private val settings: PlacementSettings) {
+internal class ServiceColdStartLimiter(private val self: String, private val settings: () -> PlacementSettings) {
     private var members: List<String> = listOf(self)
     private var ratePerSecond = 1.0
     private var senders = 1
@@ -19,7 +19,8 @@
     fun update(policy: ServicePolicy?, members: List<String>) {
         this.members = members
         ratePerSecond = (policy?.coldRequestsPerSecond ?: 1.0).coerceAtLeast(MINIMUM_RATE)
-        senders = ColdTargetPacer.senderCount(ratePerSecond, settings.coldOvershoot, settings.coldSlack, members.size)
+        val limits = settings()
+        senders = ColdTargetPacer.senderCount(ratePerSecond, limits.coldOvershoot, limits.coldSlack, members.size)
     }
 
     /** Returns whether this VM may send a request to the cold target of [load] at [now]. */
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
@@ -20,12 +20,13 @@
  * thread-safe.
  *
  * @param self name of this VM.
+ * @param settings settings at present.
  * @param shiftLimiter limits the requests that leave the region; shared by all services of the VM.
  * @param roundTripTime expected network round-trip time to a target in a zone.
  */
 public class ServicePool(
     self: String,
-    private val settings: PlacementSettings,
+    settings: () -> PlacementSettings,
     private val shiftLimiter: ShiftChangeLimiter,
     private val roundTripTime: (ZoneName) -> Duration,
 ) {
--- a/core/src/main/kotlin/org/anvilshed/core/placement/SharedRetryBudget.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/SharedRetryBudget.kt
@@ -13,7 +13,7 @@
  * @param slack retries allowed in a window for all VMs together in addition to [ratio].
  * @param window length of the sliding window.
  */
-public class SharedRetryBudget(private val ratio: Double, private val slack: Double, window: Duration) {
+public class SharedRetryBudget(private val ratio: () -> Double, private val slack: () -> Double, window: Duration) {
     private val requests = SlidingWindowCounter(window)
     private val retries = SlidingWindowCounter(window)
 
@@ -22,7 +22,7 @@
 
     /** Takes one retry at [now] if the part of one of [members] VMs allows it; returns whether it does. */
     public fun tryRetry(members: Int, now: MonotonicTime): Boolean {
-        val allowed = SAFETY_FACTOR * (ratio * requests.count(now) + slack / members.coerceAtLeast(1))
+        val allowed = SAFETY_FACTOR * (ratio() * requests.count(now) + slack() / members.coerceAtLeast(1))
         if (retries.count(now) + 1 > allowed) return false
         retries.add(now)
         return true
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ShiftChangeLimiter.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ShiftChangeLimiter.kt
@@ -18,7 +18,7 @@
  * @param maximumShift largest change of the fraction, from 0 to 1, between two successive windows of [SHIFT_WINDOW].
  * @param ownRegion region of this VM; the fraction that all other regions serve together is limited as well.
  */
-public class ShiftChangeLimiter(private val maximumShift: Double, private val ownRegion: RegionName) {
+public class ShiftChangeLimiter(private val maximumShift: () -> Double, private val ownRegion: RegionName) {
     private val counters = HashMap<RegionName, SlidingWindowCounter>()
     private val total = SlidingWindowCounter(SHIFT_WINDOW * 2, 2 * WINDOW_BUCKETS)
 
@@ -36,7 +36,7 @@
      *   that all requests move at once.
      */
     public fun allows(region: RegionName, isForced: Boolean, now: MonotonicTime): Boolean {
-        val step = if (isForced) FORCED_STEP else maximumShift * SAFETY_FACTOR
+        val step = if (isForced) FORCED_STEP else maximumShift() * SAFETY_FACTOR
         return isWithin(step, now) { it == region } && isWithin(step, now) { it != ownRegion }
     }
 
@@ -52,7 +52,7 @@
         val recentTotal = total.countBetween(now, 0, WINDOW_BUCKETS - 1)
         if (recentTotal < MINIMUM_SAMPLE) return false
         val recent = counters[region]?.countBetween(now, 0, WINDOW_BUCKETS - 1) ?: 0
-        return recent.toDouble() / recentTotal < previousFraction(now) { it == region } - maximumShift * SAFETY_FACTOR
+        return recent.toDouble() / recentTotal < previousFraction(now) { it == region } - maximumShift() * SAFETY_FACTOR
     }
 
     /** Regions to which requests were sent at any time. */
--- a/core/src/main/kotlin/org/anvilshed/core/placement/TargetSelector.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/TargetSelector.kt
@@ -30,7 +30,7 @@
  * thread-safe.
  */
 internal class TargetSelector(
-    private val settings: PlacementSettings,
+    private val settings: () -> PlacementSettings,
     private val shiftLimiter: ShiftChangeLimiter,
     private val roundTripTime: (ZoneName) -> Duration,
     private val estimates: ProcessingTimeEstimates,
@@ -49,7 +49,7 @@
     /** Returns the choice among [usable], which must not be empty, for [request] at [now]. */
     fun choose(request: PlacementRequest, usable: List<TargetLoad>, now: MonotonicTime): TargetChoice {
         val requiredRegion = shiftLimiter.regions.firstOrNull {
-            it != settings.region && shiftLimiter.requires(it, now)
+            it != settings().region && shiftLimiter.requires(it, now)
         }
         val rankOf = affinity.ranks(request, usable)
         val hasLocal = usable.any { !capacity.isRemote(it) }
--- a/core/src/test/kotlin/org/anvilshed/core/placement/PlacementSimulator.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/PlacementSimulator.kt
@@ -152,8 +152,8 @@
 
     private fun newVm(name: String, region: String): Vm {
         val settings = PlacementSettings(ZoneName(region), regionsOfZones, 0.2, 10.seconds, 56.0, 1.5, 5.0, 0.15)
-        val shiftLimiter = ShiftChangeLimiter(settings.maximumShift, RegionName(region))
-        val pool = ServicePool(name, settings, shiftLimiter) { zone -> roundTripTime(region, zone.value) }
+        val shiftLimiter = ShiftChangeLimiter({ settings.maximumShift }, RegionName(region))
+        val pool = ServicePool(name, { settings }, shiftLimiter) { zone -> roundTripTime(region, zone.value) }
         pool.updateTargets(targets.map { it.entry }, emptySet(), now)
         return Vm(name, region, pool)
     }
--- a/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
@@ -65,8 +65,8 @@
 )
 
 private fun pool(vararg targets: RegisteredTarget): ServicePool {
-    val shiftLimiter = ShiftChangeLimiter(0.15, RegionName("home"))
-    val pool = ServicePool("vm", SETTINGS, shiftLimiter) { if (it == LOCAL) 1.milliseconds else 100.milliseconds }
+    val shiftLimiter = ShiftChangeLimiter({ 0.15 }, RegionName("home"))
+    val pool = ServicePool("vm", { SETTINGS }, shiftLimiter) { if (it == LOCAL) 1.milliseconds else 100.milliseconds }
     pool.updateTargets(targets.toList(), emptySet(), START - 10.seconds)
     pool.updatePolicy(ServicePolicy(100, 3.seconds, 10.0), listOf("vm"))
     return pool
--- a/core/src/test/kotlin/org/anvilshed/core/placement/SharedRetryBudgetTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/SharedRetryBudgetTest.kt
@@ -12,7 +12,7 @@
         // Guards against VMs that amplify an overload together by sending too many retries.
         test("retries of all VMs stay within the shared budget in every window, also when all VMs retry at once") {
             val members = 7
-            val budgets = List(members) { SharedRetryBudget(0.2, 56.0, 10.seconds) }
+            val budgets = List(members) { SharedRetryBudget({ 0.2 }, { 56.0 }, 10.seconds) }
             val retries = ArrayList<MonotonicTime>()
             val requests = ArrayList<MonotonicTime>()
             var now = MonotonicTime(0)
@@ -33,7 +33,7 @@
         }
 
         test("a VM without requests may still send its part of the slack as retries, and no more") {
-            val budget = SharedRetryBudget(0.2, 56.0, 10.seconds)
+            val budget = SharedRetryBudget({ 0.2 }, { 56.0 }, 10.seconds)
             val now = MonotonicTime(0)
             (0 until 50).count { budget.tryRetry(7, now) } shouldBe 6
         }
--- a/core/src/test/kotlin/org/anvilshed/core/placement/ShiftChangeLimiterTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/ShiftChangeLimiterTest.kt
@@ -15,7 +15,7 @@
 class ShiftChangeLimiterTest :
     FunSpec({
         test("the fraction of moved requests rises and falls by at most the limit from window to window") {
-            val limiter = ShiftChangeLimiter(0.15, HOME)
+            val limiter = ShiftChangeLimiter({ 0.15 }, HOME)
             val sent = ArrayList<Pair<MonotonicTime, RegionName>>()
             var now = MonotonicTime(0)
             repeat(6_000) { number ->
@@ -45,7 +45,7 @@
         // Guards against VMs with few requests that move nearly half of them because each of two other regions gets a
         // fraction within its own limit.
         test("a VM with few requests keeps the fraction that all other regions serve together within the limit") {
-            val limiter = ShiftChangeLimiter(0.15, HOME)
+            val limiter = ShiftChangeLimiter({ 0.15 }, HOME)
             var now = MonotonicTime(0)
             repeat(10) {
                 now += 200.milliseconds
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -16,6 +16,7 @@
 import org.anvilshed.core.ZoneName
 import org.anvilshed.core.fleet.RegisteredTarget
 import org.anvilshed.core.fleet.TargetDirectory
+import org.anvilshed.core.placement.PlacementSettings
 import org.anvilshed.core.placement.ServicePool
 import org.anvilshed.core.placement.SharedRetryBudget
 import org.anvilshed.core.placement.ShiftChangeLimiter
@@ -44,7 +45,7 @@
 public class Gateway(
     private val vertx: Vertx,
     private val scope: CoroutineScope,
-    private val settings: GatewaySettings,
+    settings: GatewaySettings,
     headerNames: RequestHeaderNames,
     store: ObjectStore,
     decoders: StoreDecoders,
@@ -52,11 +53,15 @@
     private val metrics: GatewayMetrics,
     private val clock: MonotonicClock = systemClock,
 ) {
+    /** Settings in force. */
+    public var settings: GatewaySettings = settings
+        private set
+    private val placement: () -> PlacementSettings = { this.settings.placement }
     private val state = IngressState()
     private val directory = TargetDirectory()
     private val entryVms = KnownEntryVms(settings.name)
-    private val shift = ShiftChangeLimiter(settings.placement.maximumShift, settings.region)
-    private val roundTripTimes = RoundTripTimes(settings.placement)
+    private val shift = ShiftChangeLimiter({ placement().maximumShift }, settings.region)
+    private val roundTripTimes = RoundTripTimes(placement)
     private val serviceQueues = HashMap<ServiceName, ServiceQueue>()
     private val eventLoopMonitor = EventLoopMonitor(clock)
     private var isLeaving = false
@@ -109,7 +114,8 @@
             log,
             ::receiveAnnouncement,
         )
-    private val announcements = AnnouncementExchange(settings, entryVms, System.currentTimeMillis(), log, socket::send)
+    private val announcements =
+        AnnouncementExchange({ this.settings }, entryVms, System.currentTimeMillis(), log, socket::send)
     private val catchUp = FeedCatchUp(scope, feeds.byKind, snapshots, log)
     private val registration = EntryVmRegistration(settings, store, entryVms, announcements, log)
 
@@ -138,6 +144,17 @@
     public suspend fun listen(address: SocketAddress, handle: (HttpServerRequest) -> Unit): HttpServer =
         vertx.createHttpServer().requestHandler { handle(it) }.listen(address.port, address.host).coAwait()
 
+    /**
+     * Puts those of [newer] into force that may change while the process runs; requests in progress are not affected.
+     *
+     * Returns whether all of [newer] is in force now; otherwise the rest takes effect when the process starts again.
+     */
+    public fun updateSettings(newer: GatewaySettings): Boolean {
+        settings = settings.withChangesOf(newer)
+        refreshPolicies(clock())
+        return settings == newer
+    }
+
     /** Returns the addresses that a caller in [zone] of [region] may use for [GatewaySettings.lookupTimeToLive]. */
     public fun lookUp(zone: ZoneName?, region: RegionName?): List<SocketAddress> {
         val candidates = entryVms.acceptingCallers(clock()).map { EntryVm(it.callers, it.zone) } + ownEntry()
@@ -264,13 +281,10 @@
     }
 
     private fun newServiceQueue(): ServiceQueue {
-        val placement = settings.placement
         val pool = ServicePool(settings.name.value, placement, shift, roundTripTimes::estimate)
-        return ServiceQueue(
-            pool,
-            SharedRetryBudget(placement.retryRatio, placement.retrySlack, placement.retryWindow),
-            clock,
-        )
+        val retries =
+            SharedRetryBudget({ placement().retryRatio }, { placement().retrySlack }, placement().retryWindow)
+        return ServiceQueue(pool, retries, clock)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/GatewaySettings.kt
@@ -24,7 +24,18 @@
     public val placement: PlacementSettings,
     public val lookupTimeToLive: Duration,
     public val stopTimeout: Duration,
-)
+) {
+    /**
+     * Returns these settings with those of [newer] that may change while the process runs. The others, which name the
+     * process and what it has opened, stay as they are.
+     */
+    public fun withChangesOf(newer: GatewaySettings): GatewaySettings = copy(
+        seeds = newer.seeds,
+        placement = newer.placement.copy(zone = placement.zone, retryWindow = placement.retryWindow),
+        lookupTimeToLive = newer.lookupTimeToLive,
+        stopTimeout = newer.stopTimeout,
+    )
+}
 
 /**
  * Addresses on which a gateway listens.
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/RoundTripTimes.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/RoundTripTimes.kt
@@ -6,15 +6,11 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Estimated network round-trip time to each zone, from the time that opening connections took. Not thread-safe. */
-internal class RoundTripTimes(private val settings: PlacementSettings) {
+internal class RoundTripTimes(private val settings: () -> PlacementSettings) {
     private val estimates = HashMap<ZoneName, Duration>()
 
     /** Returns the estimate for [zone], or an initial value before the first connection to it. */
-    fun estimate(zone: ZoneName): Duration = estimates[zone] ?: when {
-        zone == settings.zone -> INITIAL_IN_ZONE
-        settings.regions[zone] == settings.region -> INITIAL_IN_REGION
-        else -> INITIAL_BETWEEN_REGIONS
-    }
+    fun estimate(zone: ZoneName): Duration = estimates[zone] ?: initialEstimate(zone, settings())
 
     /** Records that opening a connection to a target in [zone] took [duration]. */
     fun observe(zone: ZoneName, duration: Duration) {
@@ -24,6 +20,12 @@
             if (previous == null || duration < previous) duration else previous + (duration - previous) * RISE_WEIGHT
     }
 
+    private fun initialEstimate(zone: ZoneName, settings: PlacementSettings): Duration = when {
+        zone == settings.zone -> INITIAL_IN_ZONE
+        settings.regions[zone] == settings.region -> INITIAL_IN_REGION
+        else -> INITIAL_BETWEEN_REGIONS
+    }
+
     private companion object {
         val INITIAL_IN_ZONE = 1.milliseconds
         val INITIAL_IN_REGION = 4.milliseconds
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/WarmUp.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/WarmUp.kt
@@ -97,12 +97,13 @@
         val zone = ZoneName("warm-up")
         val placement =
             PlacementSettings(zone, mapOf(zone to RegionName("warm-up")), 0.0, 10.seconds, 0.0, 1.0, 1.0, 0.0)
-        val pool = ServicePool("warm-up", placement, ShiftChangeLimiter(0.0, RegionName("warm-up"))) { 1.milliseconds }
+        val pool =
+            ServicePool("warm-up", { placement }, ShiftChangeLimiter({ 0.0 }, RegionName("warm-up"))) { 1.milliseconds }
         val address = SocketAddress(host, target.actualPort())
         val fleet =
             listOf(RegisteredTarget(TargetKey("warm-up", 0), service, address, zone, CONCURRENCY, false, clock()))
         pool.updateTargets(fleet, emptySet(), clock())
-        val queue = ServiceQueue(pool, SharedRetryBudget(0.0, 0.0, 10.seconds), clock)
+        val queue = ServiceQueue(pool, SharedRetryBudget({ 0.0 }, { 0.0 }, 10.seconds), clock)
         val metrics = GatewayMetrics()
         val connections = TargetConnectionPool(vertx.createHttpClient(), log, clock) { _, _ -> }
         val forwarder = RequestForwarder(
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/AnnouncementExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/AnnouncementExchange.kt
@@ -17,12 +17,14 @@
  * @param send sends a datagram to a host.
  */
 internal class AnnouncementExchange(
-    private val settings: GatewaySettings,
+    private val currentSettings: () -> GatewaySettings,
     private val entryVms: KnownEntryVms,
     private val startedAtMillis: Long,
     private val log: DecisionLog,
     private val send: (ByteArray, String) -> Unit,
 ) {
+    private val settings: GatewaySettings
+        get() = currentSettings()
     private var sequence = 0L
     private var sentInRegionAt = MonotonicTime(Long.MIN_VALUE / 2)
     private var sentBetweenRegionsAt = MonotonicTime(Long.MIN_VALUE / 2)
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.anvilshed.core.RegionName
 import org.anvilshed.core.ServiceName
@@ -130,6 +131,11 @@
 
     fun <T> onEventLoop(block: suspend () -> T): T = runBlocking { scope.async { block() }.await() }
 
+    /** Starts [block] on the event loop; it is cancelled with the testbed. */
+    fun inBackground(block: suspend () -> Unit) {
+        scope.launch { block() }
+    }
+
     fun config(version: Long) = store.set(StoreKind.CONFIG, "main", JsonObject().put("version", version))
 
     fun target(name: String, target: ScriptedTarget, draining: Boolean = false) =
