--- a/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerConnection.kt
@@ -204,7 +204,8 @@
         isClosing = true
         abortUnanswered(end)
         val channel = socket.channelHandlerContext().channel()
-        channel.config().setOption(ChannelOption.SO_LINGER, 0)
+        // A failed write closes the channel before the connection is reported as closed.
+        if (channel.isOpen) channel.config().setOption(ChannelOption.SO_LINGER, 0)
         channel.close()
     }
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
@@ -23,6 +23,9 @@
     /** Time without a request after which the connection is closed instead of reused. */
     var idleLimit: Duration = DEFAULT_IDLE_LIMIT
 
+    /** Time without a request before the present one; `null` for the first request on the connection. */
+    var idleBefore: Duration? = null
+
     /** Whether neither side has closed the connection. */
     var isOpen: Boolean = true
 
@@ -54,7 +57,7 @@
     /**
      * Returns a pooled connection to [target] that was idle for less than [maximumIdleTime], or a new connection.
      *
-     * If [limit] connections to the target are open already, one that was idle for longer is returned instead. Returns
+     * If [limit] connections to the target are open already, one that was idle for longer is closed first. Returns
      * `null` if there is no such connection, or if no connection can be opened within [timeout].
      */
     suspend fun takeOrNull(
@@ -65,8 +68,8 @@
     ): TargetConnection? {
         takeIdleOrNull(target.key, maximumIdleTime)?.let { return it }
         if ((openCounts[target.key] ?: 0) >= limit) {
-            // A connection that may have been closed by the target is better than no connection.
-            return takeIdleOrNull(target.key, Duration.INFINITE)
+            val idle = idleConnections[target.key]?.removeFirstOrNull() ?: return null
+            idle.close()
         }
         return openOrNull(target, timeout)
     }
@@ -96,7 +99,10 @@
             val candidate = connections.removeLast()
             val age = now - candidate.idleSince
             if (candidate.isOpen && age < candidate.idleLimit) {
-                if (age < maximumIdleTime) return candidate
+                if (age < maximumIdleTime) {
+                    candidate.idleBefore = age
+                    return candidate
+                }
                 connections.addLast(candidate)
                 return null
             }
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/StreamedResponseTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/StreamedResponseTest.kt
@@ -11,9 +11,11 @@
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArraySet
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.Semaphore
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
 
 private val LARGE = "x".repeat(1_000_000)
 
@@ -58,6 +60,33 @@
             }
         }
 
+        // Guards against a reset of the caller's connection after a write has found it closed; the testbed reports it.
+        test("a response that breaks off at the moment at which its caller leaves ends the request") {
+            val release = Semaphore(0)
+            withTargets({ request, socket ->
+                ScriptedTarget.write(socket, head(request, 2 * LARGE.length) + LARGE)
+                release.acquire()
+                ScriptedTarget.write(socket, "x".repeat(1_000))
+                ScriptedTarget.reset(socket)
+                release.release()
+            }) { testbed, _ ->
+                repeat(20) { number ->
+                    val socket = testbed.connect()
+                    ScriptedTarget.write(socket, get("id-$number"))
+                    socket.getInputStream().readNBytes(LARGE.length)
+                    val unblock = CountDownLatch(1)
+                    val blocked = thread { testbed.onEventLoop { unblock.await() } }
+                    ScriptedTarget.reset(socket)
+                    release.release()
+                    release.acquire()
+                    Thread.sleep(20)
+                    unblock.countDown()
+                    blocked.join()
+                }
+                Thread.sleep(200)
+            }
+        }
+
         test("a slot is occupied until its streamed response ends") {
             val released = CountDownLatch(1)
             withTargets({ request, socket ->
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/TargetConnectionPoolTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/TargetConnectionPoolTest.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.anvilshed.core.MonotonicTime
 import org.anvilshed.core.ServiceName
@@ -19,6 +20,7 @@
 import org.anvilshed.gateway.testbed.TEST_ZONE
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.INFINITE
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class TargetConnectionPoolTest :
@@ -69,6 +71,19 @@
             taken.await().shouldNotBeNull()
         }
 
+        // Guards against a non-idempotent request on a connection that the target may have dropped.
+        test("a connection that was idle for too long is replaced, also at the limit of the target") {
+            val isReplaced = scope.async {
+                val pool = newPool()
+                val first = pool.takeOrNull(target(), INFINITE, limit = 1, 5.seconds).shouldNotBeNull()
+                pool.release(target().key, first)
+                delay(50.milliseconds)
+                val second = pool.takeOrNull(target(), 10.milliseconds, limit = 1, 5.seconds).shouldNotBeNull()
+                second !== first && !first.isOpen
+            }
+            isReplaced.await() shouldBe true
+        }
+
         // Guards against round-trip estimates that count one slow handshake again with each reuse of its connection.
         test("the time to open a connection is reported once, however often the connection is used") {
             val reports = scope.async {
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx
 import io.vertx.core.json.JsonObject
 import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.async
@@ -35,6 +36,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -121,7 +123,10 @@
         lookupTimeToLive = 200.milliseconds,
         stopTimeout = 3.seconds,
     )
-    private val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
+    private val failures = CopyOnWriteArrayList<Throwable>()
+    private val scope = CoroutineScope(
+        vertx.dispatcher() + SupervisorJob() + CoroutineExceptionHandler { _, failure -> failures.add(failure) },
+    )
     val gateway =
         Gateway(vertx, scope, settings, HEADER_NAMES, store, DECODERS, DecisionLog(systemClock), GatewayMetrics())
 
@@ -215,8 +220,10 @@
     /** Stops the gateway on another thread; the result completes when it has stopped. */
     fun stopInBackground(): CompletableFuture<Unit> = CompletableFuture.supplyAsync { onEventLoop { gateway.stop() } }
 
+    /** @throws IllegalStateException if a coroutine of the gateway failed. */
     override fun close() {
         vertx.close()
+        check(failures.isEmpty()) { "uncaught: ${failures.first().stackTraceToString()}" }
     }
 
     companion object {
