Place a request in time that grows with the targets, not with their square

A decision asked the shift limiter and the sum of the region's slots once for each target of another region, sorted all targets by their score, and summed the requests in flight several times for each; up to 24 waiting requests were decided again for each answer and each of some 200 announcements a second, also while no target had room.

Change: one pass over the targets with one figure each; region limits once for a decision; the two best scores without a sort; occupied slots kept up to date. While no target has room, waiting requests only expire or are refused because their targets are gone. Announced load is applied with the next tick (20 ms).

--- a/benchmark/src/main/kotlin/org/anvilshed/benchmark/micro/SlopeBenchmark.kt
+++ b/benchmark/src/main/kotlin/org/anvilshed/benchmark/micro/SlopeBenchmark.kt
@@ -234,6 +234,10 @@
     "membership" to SlopeTable(listOf("VMs", "heap bytes each", "neighbors us", "snapshot us"), ::membershipRow),
     "bundle" to SlopeTable(listOf("targets", "bytes", "parse ms"), ::bundleRow),
     "heartbeat" to SlopeTable(listOf("peers told", "bytes", "codec us"), ::heartbeatRow),
+    "placement" to SlopeTable(
+        listOf("targets", "request us", "bytes allocated", "full service us", "bytes allocated"),
+        ::placementRow,
+    ),
 )
 
 /**
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ObjectAffinity.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ObjectAffinity.kt
@@ -13,25 +13,19 @@
     private val hitRates = HitRates()
 
     /** Adjusts the fraction of objects that are served in other regions. */
-    fun adjust(now: MonotonicTime): Unit = remoteObjects.adjust(capacity.occupancy(now), now)
-
-    /** Returns a function that gives the rank of a target of [usable] for the object of [request]. */
-    fun ranks(request: PlacementRequest, usable: List<TargetLoad>): (TargetLoad) -> ObjectRank {
-        if (request.objectKey == null) return { ObjectRank.ANY }
-        val (remote, local) = usable.partition { capacity.isRemote(it) }
-        val ordered = local.sortedByDescending { it.rendezvousScore(request.objectHash) }
-        val first = ordered.getOrNull(0)
-        val second = ordered.getOrNull(1)
-        val remoteChoices = remote.sortedByDescending { it.rendezvousScore(request.objectHash) }.take(REMOTE_CHOICES)
-        return { load ->
-            when {
-                load.probablyCaches(request) -> ObjectRank.SENT
-                load === first -> ObjectRank.FIRST
-                load === second -> ObjectRank.SECOND
-                load in remoteChoices -> ObjectRank.REMOTE
-                else -> ObjectRank.OTHER
+    fun adjust(now: MonotonicTime): Unit = remoteObjects.adjust(now, capacity::occupancy)
+
+    /** Returns the ranks of the targets of [usable] for the object of [request]. */
+    fun ranks(request: PlacementRequest, usable: List<TargetLoad>): ObjectRanks {
+        val local = TopTwo()
+        val remote = TopTwo()
+        if (request.objectKey != null) {
+            for (load in usable) {
+                val score = load.rendezvousScore(request.objectHash)
+                if (load.isRemote) remote.add(load, score) else local.add(load, score)
             }
         }
+        return ObjectRanks(request, local, remote)
     }
 
     /** Returns the probability, from 0 to 1, that a target of [rank] has the object of [request] cached. */
@@ -46,9 +40,47 @@
 
     /** Records whether the target of [rank] had the object of a request [cached]. */
     fun learn(rank: ObjectRank, cached: Boolean): Unit = hitRates.observe(rank, cached)
+}
+
+/** Ranks of targets for the object of one request. */
+internal class ObjectRanks(
+    private val request: PlacementRequest,
+    private val local: TopTwo,
+    private val remote: TopTwo,
+) {
+    /** Returns the rank of the target of [load]. */
+    fun of(load: TargetLoad): ObjectRank = when {
+        request.objectKey == null -> ObjectRank.ANY
+        load.probablyCaches(request) -> ObjectRank.SENT
+        load === local.first -> ObjectRank.FIRST
+        load === local.second -> ObjectRank.SECOND
+        load === remote.first || load === remote.second -> ObjectRank.REMOTE
+        else -> ObjectRank.OTHER
+    }
+}
 
-    private companion object {
-        /** The second choice serves what exceeds the capacity of the first; more choices would scatter the objects. */
-        const val REMOTE_CHOICES = 2
+/**
+ * Two targets with the highest scores. The second serves what exceeds the capacity of the first; more choices would
+ * scatter the objects.
+ */
+internal class TopTwo {
+    var first: TargetLoad? = null
+        private set
+    var second: TargetLoad? = null
+        private set
+    private var firstScore = 0L
+    private var secondScore = 0L
+
+    /** Adds a target; of equal scores, the one that was added first counts as higher. */
+    fun add(load: TargetLoad, score: Long) {
+        if (first == null || score > firstScore) {
+            second = first
+            secondScore = firstScore
+            first = load
+            firstScore = score
+        } else if (second == null || score > secondScore) {
+            second = load
+            secondScore = score
+        }
     }
 }
--- a/core/src/main/kotlin/org/anvilshed/core/placement/RegionCapacity.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/RegionCapacity.kt
@@ -1,7 +1,6 @@
 package org.anvilshed.core.placement
 
 import org.anvilshed.core.MonotonicTime
-import org.anvilshed.core.RegionName
 import org.anvilshed.core.ZoneName
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.ZERO
@@ -12,22 +11,13 @@
  *
  * @param loads all targets of the service.
  */
-internal class RegionCapacity(
-    private val settings: () -> PlacementSettings,
-    private val loads: () -> Collection<TargetLoad>,
-) {
+internal class RegionCapacity(private val loads: () -> Collection<TargetLoad>) {
     private var peakSlots = 0
     private var peakSlotsAt = MonotonicTime(0)
 
     /** Zones whose targets get no requests. */
     var evacuated: Set<ZoneName> = emptySet()
 
-    /** Returns the region of the target of [load], or `null` if the settings do not contain its zone. */
-    fun regionOf(load: TargetLoad): RegionName? = settings().regions[load.target.zone]
-
-    /** Returns whether the target of [load] is outside the region of this VM. */
-    fun isRemote(load: TargetLoad): Boolean = regionOf(load) != settings().region
-
     /** Returns the estimated load of the region's targets as a fraction of their slots; 1 if there are no slots. */
     fun occupancy(now: MonotonicTime): Double {
         val local = localTargets()
@@ -67,7 +57,7 @@
     private fun localTargets(): List<TargetLoad> = loads().filter(::isUsableLocal)
 
     private fun isUsableLocal(load: TargetLoad): Boolean =
-        !isRemote(load) && !load.target.draining && load.target.zone !in evacuated
+        !load.isRemote && !load.target.draining && load.target.zone !in evacuated
 
     private companion object {
         /**
--- a/core/src/main/kotlin/org/anvilshed/core/placement/RemoteObjects.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/RemoteObjects.kt
@@ -18,11 +18,15 @@
     fun contains(objectHash: Int): Boolean =
         Math.floorMod(objectHash * FIBONACCI_MULTIPLIER, HASH_RANGE) < fraction * HASH_RANGE
 
-    /** Adjusts the fraction at [now] to the [occupancy] of the region's slots, where 1 means that all are occupied. */
-    fun adjust(occupancy: Double, now: MonotonicTime) {
+    /**
+     * Adjusts the fraction at [now] to the occupancy of the region's slots, where 1 means that all are occupied;
+     * [occupancyAt] is called only if an adjustment is due.
+     */
+    fun adjust(now: MonotonicTime, occupancyAt: (MonotonicTime) -> Double) {
         val last = adjustedAt
         if (last != null && now - last < ADJUSTMENT_PERIOD) return
         adjustedAt = now
+        val occupancy = occupancyAt(now)
         if (occupancy > HIGH_OCCUPANCY) fraction = (fraction + INCREASE).coerceAtMost(MAXIMUM_FRACTION)
         if (occupancy < LOW_OCCUPANCY) fraction = (fraction - DECREASE).coerceAtLeast(0.0)
     }
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
@@ -26,14 +26,14 @@
  */
 public class ServicePool(
     self: String,
-    settings: () -> PlacementSettings,
+    private val settings: () -> PlacementSettings,
     private val shiftLimiter: ShiftChangeLimiter,
     private val roundTripTime: (ZoneName) -> Duration,
 ) {
     private val loads = LinkedHashMap<TargetKey, TargetLoad>()
     private val waiting = TreeSet(WaitingRequest.DISPATCH_ORDER)
     private val estimates = ProcessingTimeEstimates()
-    private val capacity = RegionCapacity(settings) { loads.values }
+    private val capacity = RegionCapacity { loads.values }
     private val coldStartLimiter = ServiceColdStartLimiter(self, settings)
     private val affinity = ObjectAffinity(capacity)
     private val selector =
@@ -52,7 +52,13 @@
     public fun updateTargets(targets: Collection<RegisteredTarget>, evacuatedZones: Set<ZoneName>, now: MonotonicTime) {
         val keys = targets.mapTo(HashSet()) { it.key }
         loads.keys.retainAll(keys)
-        for (target in targets) loads.getOrPut(target.key) { TargetLoad(target, now) }.target = target
+        val regions = settings().regions
+        for (target in targets) {
+            val load = loads.getOrPut(target.key) { TargetLoad(target, now) }
+            load.target = target
+            load.region = regions[target.zone]
+            load.isRemote = load.region != settings().region
+        }
         capacity.evacuated = evacuatedZones
     }
 
@@ -67,10 +73,13 @@
 
     /** Returns whether [target] may get a request now; must be checked again immediately before each send. */
     public fun mayReceive(target: RegisteredTarget): Boolean {
-        val current = loads[target.key]?.target ?: return false
-        return !current.draining && current.zone !in capacity.evacuated
+        val load = loads[target.key] ?: return false
+        return isInService(load)
     }
 
+    private fun isInService(load: TargetLoad): Boolean =
+        !load.target.draining && load.target.zone !in capacity.evacuated
+
     /** Decides at [now] whether [request] is sent, waits or is refused. */
     public fun offer(request: PlacementRequest, now: MonotonicTime): Placement {
         val usable = usableTargets(request, now)
@@ -102,9 +111,10 @@
     public fun dispatchWaiting(now: MonotonicTime): List<Pair<WaitingRequest, Placement>> {
         if (waiting.isEmpty()) return emptyList()
         val decided = ArrayList<Pair<WaitingRequest, Placement>>()
+        val hasRoom = loads.values.any { isInService(it) && selector.hasRoom(it, now) }
         for ((index, ticket) in waiting.toList().withIndex()) {
             val isExamined = index < EXAMINED_LIMIT || now >= ticket.expiresAt
-            val placement = if (isExamined) decideOrNull(ticket, now) else null
+            val placement = if (isExamined) decideOrNull(ticket, hasRoom, now) else null
             if (placement != null) {
                 waiting.remove(ticket)
                 decided.add(ticket to placement)
@@ -130,12 +140,18 @@
             .coerceAtLeast(MINIMUM_ANSWER_TIMEOUT)
     }
 
-    /** Decides about a waiting request: it goes to its best target, or to any with room once it has expired. */
-    private fun decideOrNull(ticket: WaitingRequest, now: MonotonicTime): Placement? {
-        val usable = usableTargets(ticket.request, now)
-        if (usable.isEmpty()) return Placement.Refuse(PlacementRefusalReason.NO_TARGET, NO_TARGET_RETRY_DELAY)
-        val choice = selector.choose(ticket.request, usable, now)
+    /**
+     * Decides about a waiting request: it goes to its best target, or to any with room once it has expired.
+     *
+     * @param hasRoom whether any target has room; otherwise the request can only go on waiting until it expires.
+     */
+    private fun decideOrNull(ticket: WaitingRequest, hasRoom: Boolean, now: MonotonicTime): Placement? {
+        if (loads.values.none { isEligible(it, ticket.request) }) {
+            return Placement.Refuse(PlacementRefusalReason.NO_TARGET, NO_TARGET_RETRY_DELAY)
+        }
         val hasExpired = now >= ticket.expiresAt
+        if (!hasRoom && !hasExpired) return null
+        val choice = selector.choose(ticket.request, usableTargets(ticket.request, now), now)
         val free = choice.free?.takeIf { hasExpired || it === choice.best }
         if (free != null && ticket.request.deadline - now > choice.freeLatency) {
             return send(ticket.request, free, choice, now)
@@ -159,12 +175,12 @@
         return processingTime / expected.coerceAtLeast(1.milliseconds)
     }
 
+    private fun isEligible(load: TargetLoad, request: PlacementRequest): Boolean = isInService(load) &&
+        (request.excluded.isEmpty() || load.target.key !in request.excluded) &&
+        (request.homeRegions.isEmpty() || load.region in request.homeRegions)
+
     private fun usableTargets(request: PlacementRequest, now: MonotonicTime): List<TargetLoad> {
-        val eligible = loads.values.filter { load ->
-            mayReceive(load.target) &&
-                load.target.key !in request.excluded &&
-                (request.homeRegions.isEmpty() || capacity.regionOf(load) in request.homeRegions)
-        }
+        val eligible = loads.values.filter { isEligible(it, request) }
         val healthy = eligible.filterNot { it.isSuspended(now) }
         // If most targets are suspended, the cause is more likely this VM's own network than the targets.
         return if (healthy.size * 2 >= eligible.size) healthy else eligible
@@ -178,7 +194,7 @@
     ): Placement.Send {
         val cold = load.isCold(now)
         if (cold) coldStartLimiter.recordSent(load, now)
-        capacity.regionOf(load)?.let { shiftLimiter.recordSent(it, now) }
+        load.region?.let { shiftLimiter.recordSent(it, now) }
         val rank = choice.rankOf(load)
         val processingTime = estimates.expected(request.workloadClass, affinity.hitRate(request, rank))
         val expected = if (cold) processingTime * TargetLoad.COLD_SLOWDOWN else processingTime
--- a/core/src/main/kotlin/org/anvilshed/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/TargetLoad.kt
@@ -1,6 +1,7 @@
 package org.anvilshed.core.placement
 
 import org.anvilshed.core.MonotonicTime
+import org.anvilshed.core.RegionName
 import org.anvilshed.core.fleet.RegisteredTarget
 import org.anvilshed.core.membership.rendezvousScore
 import kotlin.time.Duration.Companion.milliseconds
@@ -13,6 +14,12 @@
  * @param createdAt when this VM first received the target's registration.
  */
 internal class TargetLoad(var target: RegisteredTarget, createdAt: MonotonicTime) {
+    /** Region of the target, or `null` if the settings do not contain its zone. */
+    var region: RegionName? = null
+
+    /** Whether the target is outside the region of this VM. */
+    var isRemote = false
+
     private val inFlightRequests = ArrayList<InFlightRequest>()
     private val objects = TargetCacheModel()
     private var reportedLoadOfOthers = 0.0
@@ -45,8 +52,8 @@
         get() = inFlightRequests.size
 
     /** Slots that this VM's requests in flight occupy; the time on the network is subtracted. */
-    val occupiedSlots: Double
-        get() = inFlightRequests.sumOf { it.slotFraction }
+    var occupiedSlots = 0.0
+        private set
 
     /** Returns the estimated number of requests at the target, from those of this VM, announcements and reports. */
     fun estimatedLoad(now: MonotonicTime): Double {
@@ -94,6 +101,7 @@
     /** Records that [inFlight] was sent to the target at [now]. */
     fun recordSent(inFlight: InFlightRequest, now: MonotonicTime) {
         inFlightRequests.add(inFlight)
+        occupiedSlots += inFlight.slotFraction
         inFlight.request.objectKey?.let(objects::recordSent)
         lastSentAt = now
         wasUsed = true
@@ -111,7 +119,9 @@
         observedSlowdown: Double?,
         now: MonotonicTime,
     ) {
-        inFlightRequests.remove(inFlight)
+        if (inFlightRequests.remove(inFlight)) occupiedSlots -= inFlight.slotFraction
+        // Ends the sum of the rounding errors.
+        if (inFlightRequests.isEmpty()) occupiedSlots = 0.0
         when (outcome) {
             is TargetOutcome.Answered -> {
                 outcome.report?.let { recordReport(it, now) }
--- a/core/src/main/kotlin/org/anvilshed/core/placement/TargetSelector.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/TargetSelector.kt
@@ -38,89 +38,119 @@
     private val affinity: ObjectAffinity,
     private val coldStartLimiter: ServiceColdStartLimiter,
 ) {
+    /** Target with its figures for one request; times are in milliseconds. */
     private class Candidate(
         val load: TargetLoad,
-        val latency: Duration,
-        val cost: Duration,
-        val isRequired: Boolean,
         val rank: ObjectRank,
+        val estimatedLoad: Double,
+        val latency: Double,
+        val cost: Double,
+        val isRequired: Boolean,
     )
 
     /** Returns the choice among [usable], which must not be empty, for [request] at [now]. */
     fun choose(request: PlacementRequest, usable: List<TargetLoad>, now: MonotonicTime): TargetChoice {
-        val requiredRegion = shiftLimiter.regions.firstOrNull {
-            it != settings().region && shiftLimiter.requires(it, now)
-        }
-        val rankOf = affinity.ranks(request, usable)
-        val hasLocal = usable.any { !capacity.isRemote(it) }
-        val all = usable.map { candidate(request, it, rankOf(it), requiredRegion, now) }
+        val ranks = affinity.ranks(request, usable)
+        val hasLocal = usable.any { !it.isRemote }
+        val all = candidates(request, usable, ranks, now)
         // A request that leaves the region takes a slot from requests that need not, so leaving must have a benefit.
+        val timeLeft = milliseconds(request.latencyObjective - CALLER_ROUND_TRIP - (now - request.startedAt))
         val candidates = all.filter {
-            !hasLocal || it.isRequired || isLocalOrWorthLeaving(request, it, now)
+            !hasLocal || it.isRequired || isLocalOrWorthLeaving(it, timeLeft)
         }.ifEmpty { all }
-        val free = candidates.filter { hasRoom(it, now) && mayUse(it.load, hasLocal, now) }.minByOrNull { it.cost }
-        val cheapest = candidates.minBy { it.cost }
+        val shift = ShiftPermissions(hasLocal, now)
+        var cheapest = candidates.first()
+        var free: Candidate? = null
+        for (candidate in candidates) {
+            if (candidate.cost < cheapest.cost) cheapest = candidate
+            val isCheaper = free == null || candidate.cost < free.cost
+            if (isCheaper && hasRoom(candidate) && mayUse(candidate.load, shift, now)) free = candidate
+        }
         // A target that has room but that this VM may not use now is not worth waiting for.
-        val best = if (free != null && hasRoom(cheapest, now)) free else cheapest
+        val best = if (free != null && hasRoom(cheapest)) free else cheapest
         return TargetChoice(
             best = best.load,
-            bestLatency = best.latency,
+            bestLatency = best.latency.milliseconds,
             free = free?.load,
-            freeLatency = free?.latency ?: Duration.INFINITE,
-            rankOf = rankOf,
+            freeLatency = free?.latency?.milliseconds ?: Duration.INFINITE,
+            rankOf = ranks::of,
         )
     }
 
-    private fun candidate(
+    /** Returns whether [load] may have one more request of any rank at [now]. */
+    fun hasRoom(load: TargetLoad, now: MonotonicTime): Boolean =
+        load.estimatedLoad(now) < roomLimit(load, ObjectRank.ANY) - HALF_SLOT
+
+    private fun candidates(
         request: PlacementRequest,
-        load: TargetLoad,
-        rank: ObjectRank,
-        requiredRegion: RegionName?,
+        usable: List<TargetLoad>,
+        ranks: ObjectRanks,
         now: MonotonicTime,
-    ): Candidate {
-        val processingTime = estimates.expected(request.workloadClass, affinity.hitRate(request, rank))
-        val latency = latency(load, processingTime, now)
-        val isRequired = requiredRegion != null && capacity.regionOf(load) == requiredRegion
-        val eviction = if (rank == ObjectRank.OTHER) EVICTION_COST else 0.0
-        val surcharge = surchargeFraction(load, now) + eviction
-        val cost = latency + processingTime * surcharge
-        return Candidate(load, latency, if (isRequired) cost * REQUIRED_REGION_DISCOUNT else cost, isRequired, rank)
+    ): List<Candidate> {
+        val requiredRegion = shiftLimiter.regions.firstOrNull {
+            it != settings().region && shiftLimiter.requires(it, now)
+        }
+        val processingTimes = DoubleArray(ObjectRank.entries.size) { ordinal ->
+            val hitRate = affinity.hitRate(request, ObjectRank.entries[ordinal])
+            milliseconds(estimates.expected(request.workloadClass, hitRate))
+        }
+        val averageProcessingTime = milliseconds(estimates.average)
+        return usable.map { load ->
+            val rank = ranks.of(load)
+            val estimatedLoad = load.estimatedLoad(now)
+            val processingTime = processingTimes[rank.ordinal]
+            // Requests that are ahead in the queue of the target.
+            val ahead = (estimatedLoad - load.target.slots + 1).coerceAtLeast(0.0)
+            val slowdown = if (load.isCold(now)) TargetLoad.COLD_SLOWDOWN else load.currentSlowdown(now)
+            val latency = milliseconds(roundTripTime(load.target.zone)) +
+                (processingTime + averageProcessingTime * (ahead / load.target.slots)) * slowdown
+            val isRequired = requiredRegion != null && load.region == requiredRegion
+            val cost = latency + processingTime * surchargeFraction(load, rank, estimatedLoad, now)
+            val discountedCost = if (isRequired) cost * REQUIRED_REGION_DISCOUNT else cost
+            Candidate(load, rank, estimatedLoad, latency, discountedCost, isRequired)
+        }
     }
 
-    /** Returns whether the target is local, or has so many free slots that the request may leave the region for it. */
-    private fun isLocalOrWorthLeaving(request: PlacementRequest, candidate: Candidate, now: MonotonicTime): Boolean {
-        val load = candidate.load
-        if (!capacity.isRemote(load)) return true
-        val inTime = now - request.startedAt + candidate.latency + CALLER_ROUND_TRIP <= request.latencyObjective
-        val occupied = load.estimatedLoad(now) / load.target.slots
-        return occupied < (if (inTime) REMOTE_TARGET_OCCUPANCY else LATE_REMOTE_TARGET_OCCUPANCY)
+    /**
+     * Returns whether the target is local, or has so many free slots that the request may leave the region for it.
+     *
+     * @param timeLeft time until the latency objective of the request, in milliseconds.
+     */
+    private fun isLocalOrWorthLeaving(candidate: Candidate, timeLeft: Double): Boolean {
+        if (!candidate.load.isRemote) return true
+        val limit = if (candidate.latency <= timeLeft) REMOTE_TARGET_OCCUPANCY else LATE_REMOTE_TARGET_OCCUPANCY
+        return candidate.estimatedLoad / candidate.load.target.slots < limit
     }
 
-    /** Returns whether the limits for other regions and for cold targets allow a request to the target at [now]. */
-    private fun mayUse(load: TargetLoad, hasLocal: Boolean, now: MonotonicTime): Boolean {
-        val region = capacity.regionOf(load)
-        // If the region has no targets, its requests must leave it or are refused, so no limit applies to them.
-        val leavesByChoice = region != null && hasLocal && capacity.isRemote(load)
-        if (region != null && leavesByChoice && !shiftLimiter.allows(region, capacity.hasLostSlots(now), now)) {
-            return false
+    /** Regions that requests may leave for at [now]; each is looked up once for a decision. */
+    private inner class ShiftPermissions(private val hasLocal: Boolean, private val now: MonotonicTime) {
+        private val known = HashMap<RegionName, Boolean>()
+        private val hasLostSlots by lazy(LazyThreadSafetyMode.NONE) { capacity.hasLostSlots(now) }
+
+        fun allows(load: TargetLoad): Boolean {
+            val region = load.region
+            // If the region has no targets, its requests must leave it or are refused, so no limit applies to them.
+            if (region == null || !hasLocal || !load.isRemote) return true
+            return known.getOrPut(region) { shiftLimiter.allows(region, hasLostSlots, now) }
         }
-        return !load.isCold(now) || coldStartLimiter.allows(load, now)
     }
 
-    /** Returns the expected time until the target's answer to a request that takes [processingTime] at normal speed. */
-    private fun latency(load: TargetLoad, processingTime: Duration, now: MonotonicTime): Duration {
-        val factor = if (load.isCold(now)) TargetLoad.COLD_SLOWDOWN else load.currentSlowdown(now)
-        val ahead = (load.estimatedLoad(now) - load.target.slots + 1).coerceAtLeast(0.0)
-        return roundTripTime(load.target.zone) +
-            (processingTime + estimates.average * (ahead / load.target.slots)) * factor
-    }
+    /** Returns whether the limits for other regions and for cold targets allow a request to the target at [now]. */
+    private fun mayUse(load: TargetLoad, shift: ShiftPermissions, now: MonotonicTime): Boolean =
+        shift.allows(load) && (!load.isCold(now) || coldStartLimiter.allows(load, now))
 
     /** Returns what the choice of a target costs in addition to the latency, as a fraction of the processing time. */
-    private fun surchargeFraction(load: TargetLoad, now: MonotonicTime): Double {
-        val occupied = (load.estimatedLoad(now) / load.target.slots).coerceAtMost(1.0)
+    private fun surchargeFraction(
+        load: TargetLoad,
+        rank: ObjectRank,
+        estimatedLoad: Double,
+        now: MonotonicTime,
+    ): Double {
+        val occupied = (estimatedLoad / load.target.slots).coerceAtMost(1.0)
         val explore =
-            load.needsExploration(now) && !capacity.isRemote(load) && load.failureRate < MAXIMUM_EXPLORED_FAILURE_RATE
-        val fraction = SLOT_COST + load.failureRate * FAILURE_COST + occupied * OCCUPANCY_COST
+            !load.isRemote && load.failureRate < MAXIMUM_EXPLORED_FAILURE_RATE && load.needsExploration(now)
+        val eviction = if (rank == ObjectRank.OTHER) EVICTION_COST else 0.0
+        val fraction = SLOT_COST + load.failureRate * FAILURE_COST + occupied * OCCUPANCY_COST + eviction
         return if (explore) fraction - EXPLORATION_DISCOUNT else fraction
     }
 
@@ -132,21 +162,27 @@
      * target without the object in its cache, the request occupies the slot several times as long as on a target that
      * has it cached, so under load the request waits for one of the latter.
      */
-    private fun hasRoom(candidate: Candidate, now: MonotonicTime): Boolean {
-        val slots = candidate.load.target.slots
-        val limit = when (candidate.rank) {
+    private fun hasRoom(candidate: Candidate): Boolean {
+        // A request counts as a fraction of a slot because of its time on the network, so the load is compared to a
+        // value halfway between two whole numbers.
+        return candidate.estimatedLoad < roomLimit(candidate.load, candidate.rank) - HALF_SLOT
+    }
+
+    /** Returns how many requests a target may have if it has [rank] for the next one. */
+    private fun roomLimit(load: TargetLoad, rank: ObjectRank): Double {
+        val slots = load.target.slots
+        return when (rank) {
             ObjectRank.OTHER -> slots * OTHER_RANK_OCCUPANCY
 
             ObjectRank.SECOND, ObjectRank.REMOTE -> slots * SECONDARY_RANK_OCCUPANCY
 
             ObjectRank.SENT, ObjectRank.FIRST, ObjectRank.ANY ->
-                if (capacity.isRemote(candidate.load)) slots.toDouble() else slots + ceil(slots * OVERCOMMIT_FRACTION)
+                if (load.isRemote) slots.toDouble() else slots + ceil(slots * OVERCOMMIT_FRACTION)
         }
-        // A request counts as a fraction of a slot because of its time on the network, so the load is compared to a
-        // value halfway between two whole numbers.
-        return candidate.load.estimatedLoad(now) < limit - HALF_SLOT
     }
 
+    private fun milliseconds(duration: Duration): Double = duration.inWholeNanoseconds / NANOSECONDS_PER_MILLISECOND
+
     companion object {
         /** Assumed round trip between caller and VM; counts towards the latency objective, and VMs can't measure it. */
         val CALLER_ROUND_TRIP = 10.milliseconds
@@ -190,5 +226,6 @@
         /** Requests that may wait at a target, as a fraction of its slots. */
         private const val OVERCOMMIT_FRACTION = 0.2
         private const val HALF_SLOT = 0.5
+        private const val NANOSECONDS_PER_MILLISECOND = 1e6
     }
 }
--- a/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
@@ -5,6 +5,7 @@
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -88,6 +89,41 @@
 
 class ServicePoolTest :
     FunSpec({
+        // Guards against decisions whose cost grows with the square of the targets, or with the length of the queue.
+        test("a decision looks at each target once, and at none for waiting requests while all targets are full") {
+            var lookups = 0
+            val targets = List(200) { target("target-$it", if (it % 2 == 0) LOCAL else REMOTE) }
+            val pool = ServicePool("vm", { SETTINGS }, ShiftChangeLimiter({ 0.15 }, RegionName("home"))) {
+                lookups++
+                1.milliseconds
+            }
+            pool.updateTargets(targets, emptySet(), START - 10.seconds)
+            pool.updatePolicy(ServicePolicy(100, 3.seconds, 10.0), listOf("vm"))
+            pool.send(START, key = "object")
+            // One for each target, and some for the chosen one.
+            lookups shouldBeLessThanOrEqual 210
+            repeat(100) { pool.send(START) }
+            pool.updateAnnouncedSlots { 10.0 }
+            repeat(50) { pool.offer(request(START, latencyObjective = 1.seconds, deadline = 3.seconds), START) }
+            pool.queueLength shouldBeGreaterThan 24
+            lookups = 0
+            pool.dispatchWaiting(START + 1.milliseconds) shouldHaveSize 0
+            lookups shouldBe 0
+        }
+
+        // Guards against a shortcut that leaves requests waiting for targets that are all gone.
+        test("waiting requests are refused at once when their service has no target any more") {
+            val pool = pool(target("a", slots = 1))
+            pool.learn(1, 1.seconds)
+            pool.updateAnnouncedSlots { 3.0 }
+            val waiting = pool.offer(request(START, latencyObjective = 1.seconds, deadline = 3.seconds), START)
+                .shouldBeInstanceOf<Placement.Wait>()
+            pool.updateTargets(emptyList(), emptySet(), START)
+            val (ticket, placement) = pool.dispatchWaiting(START + 1.milliseconds).single()
+            ticket shouldBe waiting.ticket
+            placement.shouldBeInstanceOf<Placement.Refuse>().reason shouldBe PlacementRefusalReason.NO_TARGET
+        }
+
         test("the time in which a caller reads a streamed response does not count as processing time") {
             val pool = pool(target("a"), target("b"))
             pool.learn(1, 300.milliseconds)
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -65,6 +65,7 @@
     private val serviceQueues = HashMap<ServiceName, ServiceQueue>()
     private val eventLoopMonitor = EventLoopMonitor(clock)
     private var isLeaving = false
+    private var isAnnouncedLoadStale = false
 
     private val feeds = FleetFeeds(
         store = store,
@@ -151,7 +152,7 @@
      */
     public fun updateSettings(newer: GatewaySettings): Boolean {
         settings = settings.withChangesOf(newer)
-        refreshPolicies(clock())
+        refreshTargets(clock())
         return settings == newer
     }
 
@@ -205,6 +206,7 @@
             eventLoopMonitor.timerFired()
             val now = clock()
             announce(now)
+            if (isAnnouncedLoadStale) refreshAnnouncedLoad(now)
             for (queue in serviceQueues.values) if (queue.pool.queueLength > 0) queue.dispatch()
             if (now - lastSlowTick >= SLOW_TICK_PERIOD) {
                 lastSlowTick = now
@@ -243,19 +245,20 @@
         val now = clock()
         val change = announcements.receive(announcement, now)
         if (change == PeerChange.IGNORED) return
-        refreshAnnouncedLoad(now)
+        // Applied with the next tick: with dozens of VMs, announcements arrive many times as often as ticks.
+        isAnnouncedLoadStale = true
         if (change == PeerChange.APPEARED) refreshPolicies(now)
         entryVms.live(now).firstOrNull { it.name.value == announcement.name }?.let(catchUp::fetchNewer)
     }
 
     private fun refreshAnnouncedLoad(now: MonotonicTime) {
+        isAnnouncedLoadStale = false
         val sums = HashMap<Int, Int>()
         for (peer in entryVms.live(now)) {
             for ((hash, count) in peer.announcement.occupiedSlots) sums.merge(hash, count, Int::plus)
         }
         for (queue in serviceQueues.values) {
             queue.pool.updateAnnouncedSlots { (sums[Announcement.targetHash(it)] ?: 0) / Announcement.SLOT_UNITS }
-            if (queue.pool.queueLength > 0) queue.dispatch()
         }
     }
 
