--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -65,7 +65,11 @@
     private val serviceQueues = HashMap<ServiceName, ServiceQueue>()
     private val eventLoopMonitor = EventLoopMonitor(clock)
     private var isLeaving = false
+
+    /** Number of VMs that share limits, counted with each slow tick and when a VM appears. */
+    private var participantCount = 1
     private var isAnnouncedLoadStale = false
+    private var announcedLoadRefreshedAt = clock()
 
     private val feeds = FleetFeeds(
         store = store,
@@ -95,7 +99,7 @@
         metrics = metrics,
         clock = clock,
         eventLoopMonitor = eventLoopMonitor,
-        members = { entryVms.limitParticipants(clock()).size },
+        members = { participantCount },
         connectionLimit = ::connectionLimit,
         connectTimeout = { roundTripTimes.estimate(it.zone) * CONNECT_ROUND_TRIPS + MINIMUM_CONNECT_TIME },
     )
@@ -196,7 +200,7 @@
 
     private fun connectionLimit(service: ServiceName): Int {
         val limit = state.currentOrNull?.config?.services?.get(service)?.maximumConnections ?: return 1
-        return (limit / entryVms.limitParticipants(clock()).size).coerceAtLeast(1)
+        return (limit / participantCount).coerceAtLeast(1)
     }
 
     private suspend fun runTicks() {
@@ -206,7 +210,8 @@
             eventLoopMonitor.timerFired()
             val now = clock()
             announce(now)
-            if (isAnnouncedLoadStale) refreshAnnouncedLoad(now)
+            val isRefreshDue = now - announcedLoadRefreshedAt >= ANNOUNCED_LOAD_REFRESH_PERIOD
+            if (isAnnouncedLoadStale && isRefreshDue) refreshAnnouncedLoad(now)
             for (queue in serviceQueues.values) if (queue.pool.queueLength > 0) queue.dispatch()
             if (now - lastSlowTick >= SLOW_TICK_PERIOD) {
                 lastSlowTick = now
@@ -245,7 +250,6 @@
         val now = clock()
         val change = announcements.receive(announcement, now)
         if (change == PeerChange.IGNORED) return
-        // Applied with the next tick: with dozens of VMs, announcements arrive many times as often as ticks.
         isAnnouncedLoadStale = true
         if (change == PeerChange.APPEARED) refreshPolicies(now)
         entryVms.live(now).firstOrNull { it.name.value == announcement.name }?.let(catchUp::fetchNewer)
@@ -253,6 +257,7 @@
 
     private fun refreshAnnouncedLoad(now: MonotonicTime) {
         isAnnouncedLoadStale = false
+        announcedLoadRefreshedAt = now
         val sums = HashMap<Int, Int>()
         for (peer in entryVms.live(now)) {
             for ((hash, count) in peer.announcement.occupiedSlots) sums.merge(hash, count, Int::plus)
@@ -265,6 +270,7 @@
     private fun refreshPolicies(now: MonotonicTime) {
         val services = state.currentOrNull?.config?.services.orEmpty()
         val participants = entryVms.limitParticipants(now)
+        participantCount = participants.size
         for ((name, queue) in serviceQueues) queue.pool.updatePolicy(services[name], participants)
     }
 
@@ -293,6 +299,12 @@
     private companion object {
         val TICK_PERIOD = 20.milliseconds
         val SLOW_TICK_PERIOD = 250.milliseconds
+
+        /**
+         * The load of all peers is summed up this often at most, as dozens of VMs announce theirs hundreds of times a
+         * second. Shorter than the period of the announcements of one VM.
+         */
+        val ANNOUNCED_LOAD_REFRESH_PERIOD = 60.milliseconds
         val STOP_POLL_PERIOD = 20.milliseconds
 
         /** The process must end this long before it would be killed. */
