Take back the learned limits for idle connections, and reuse none after 250 ms for a non-idempotent request

Connections at the limit of a target are still replaced.

Test: GatewayRequestTest, "a non-idempotent request is not sent on a connection that was idle long enough to be forgotten".

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
@@ -17,7 +17,6 @@
 import org.anvilshed.gateway.MonotonicClock
 import org.anvilshed.gateway.RequestHeaderNames
 import org.anvilshed.gateway.targets.ExchangeResult
-import org.anvilshed.gateway.targets.ReuseAgeLimits
 import org.anvilshed.gateway.targets.TargetConnection
 import org.anvilshed.gateway.targets.TargetConnectionPool
 import org.anvilshed.gateway.targets.TargetExchange
@@ -90,8 +89,6 @@
     private val connectionLimit: (ServiceName) -> Int,
     private val connectTimeout: (RegisteredTarget) -> Duration,
 ) {
-    private val reuseAgeLimits = ReuseAgeLimits()
-
     /** Forwards [request] and returns the final reply to its caller. */
     suspend fun forward(request: ForwardedRequest): Reply {
         val queue =
@@ -161,7 +158,7 @@
         try {
             eventLoopMonitor.awaitSocketReadsIfDelayed()
             val idempotent = request.placement.workloadClass.idempotent
-            val maximumIdleTime = reuseAgeLimits.limit(request.service, idempotent, clock())
+            val maximumIdleTime = if (idempotent) Duration.INFINITE else NON_IDEMPOTENT_IDLE_LIMIT
             val limit = connectionLimit(request.service)
             val connection = connections.takeOrNull(send.target, maximumIdleTime, limit, connectTimeout(send.target))
             if (connection == null) {
@@ -200,7 +197,6 @@
         val exchange = TargetExchange(connection, withTargetHeaders(request, send), headerNames, request.responseMemory)
         try {
             val result = awaitResult(queue, request, send, exchange)
-            if (result is ExchangeResult.Broken) learnFromReset(request, exchange, connection)
             val attempt = if (result == null) targetSilent() else attemptResult(request, send, result, mayHaveRunBefore)
             // A connection with an unread rest of a response can't be used again; closing it ends the target's work.
             releaseOrClose(send, exchange, connection)
@@ -214,20 +210,6 @@
         }
     }
 
-    /** Records a connection that failed as soon as it was used again, since its target had dropped it before. */
-    private fun learnFromReset(request: ForwardedRequest, exchange: TargetExchange, connection: TargetConnection) {
-        val idleBefore = connection.idleBefore ?: return
-        val failedAfter = clock() - (request.sentAt ?: return)
-        if (exchange.hasResponse || failedAfter > IMMEDIATE_FAILURE) return
-        reuseAgeLimits.recordReset(request.service, idleBefore, clock())
-        log.request(
-            "idle-connection-dropped",
-            "id" to request.target.id,
-            "target" to request.lastTarget,
-            "idle_ms" to idleBefore.inWholeMilliseconds,
-        )
-    }
-
     private fun targetSilent(): Pair<AttemptResult, TargetOutcome> =
         AttemptResult.Retryable(Reply.Failed(GATEWAY_TIMEOUT, "target-silent"), "target-silent") to TargetOutcome.Broken
 
@@ -329,8 +311,12 @@
         const val GATEWAY_TIMEOUT = 504
         const val CONNECT_FAILURE_LIMIT = 3
 
-        /** About two round trips between regions: later failures are those of a target that worked on the request. */
-        val IMMEDIATE_FAILURE = 250.milliseconds
+        /**
+         * Non-idempotent requests use no connection that was idle for longer: a target may have dropped it in the
+         * meantime, and a request that fails that way can't be retried safely. Some targets forget connections that
+         * were idle for 300 ms.
+         */
+        val NON_IDEMPOTENT_IDLE_LIMIT = 250.milliseconds
         val TARGET_FULL_RETRY_AFTER = 150.milliseconds
         val NO_TARGET_RETRY_AFTER = 300.milliseconds
     }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
@@ -23,9 +23,6 @@
     /** Time without a request after which the connection is closed instead of reused. */
     var idleLimit: Duration = DEFAULT_IDLE_LIMIT
 
-    /** Time without a request before the present one; `null` for the first request on the connection. */
-    var idleBefore: Duration? = null
-
     /** Whether neither side has closed the connection. */
     var isOpen: Boolean = true
 
@@ -99,10 +96,7 @@
             val candidate = connections.removeLast()
             val age = now - candidate.idleSince
             if (candidate.isOpen && age < candidate.idleLimit) {
-                if (age < maximumIdleTime) {
-                    candidate.idleBefore = age
-                    return candidate
-                }
+                if (age < maximumIdleTime) return candidate
                 connections.addLast(candidate)
                 return null
             }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
@@ -67,10 +67,6 @@
     private val result = CompletableDeferred<ExchangeResult>()
     private val largeBodyEnded = CompletableDeferred<Boolean>()
     private var isRequestWritten = false
-
-    /** Whether the response had begun to arrive, so that a failure is not that of an idle connection. */
-    var hasResponse = false
-        private set
     private var isResponseReusable = false
 
     /** Whether the connection may serve another request. */
@@ -109,7 +105,6 @@
     }
 
     private fun receive(response: HttpClientResponse) {
-        hasResponse = true
         if (response.getHeader(headerNames.requestId) != request.id) {
             broken("response to another request")
             connection.close()
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRequestTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRequestTest.kt
@@ -9,6 +9,7 @@
 import org.anvilshed.gateway.testbed.ScriptedTarget
 import org.anvilshed.gateway.testbed.withTargets
 import java.net.Socket
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
 
@@ -47,6 +48,21 @@
             }
         }
 
+        // Guards against bookings that fail because their target forgot an idle connection sooner than it stated.
+        test("a non-idempotent request is not sent on a connection that was idle long enough to be forgotten") {
+            val lastUsed = ConcurrentHashMap<Socket, Long>()
+            withTargets({ request, socket ->
+                val now = System.nanoTime()
+                val idleMillis = lastUsed.put(socket, now)?.let { (now - it) / 1_000_000 } ?: 0
+                if (idleMillis >= 300) ScriptedTarget.reset(socket) else ScriptedTarget.respond(socket, request)
+            }) { testbed, _ ->
+                repeat(6) { number ->
+                    testbed.call("/once/", id = "id-$number", method = "POST", body = "x").status shouldBe 200
+                    Thread.sleep(350)
+                }
+            }
+        }
+
         test("an idempotent request is sent to another target after its connection failed") {
             withTargets({ _, socket -> ScriptedTarget.reset(socket) }, respond) { testbed, _ ->
                 repeat(4) { testbed.call("/safe/", id = "id-$it").status shouldBe 200 }
