Answer a request whose length is no number

Cause: the length of a head that the decoder had rejected was parsed again; the failure left the caller without an answer (found by reading the change before the landing).

Test: PipelinedRequestTest, "a request with a malformed head is rejected at once, and its connection closes", failed before with no answer at all.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerRequest.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerRequest.kt
@@ -84,8 +84,8 @@
     private val bodyReservation = bodyMemory.newReservation()
 
     init {
-        val declaredLength = HttpUtil.getContentLength(head, 0L)
-        if (declaredLength > maximumBodyBytes) body.complete(BodyResult.TooLong)
+        // The length of an invalid head may be no number.
+        if (fault == null && HttpUtil.getContentLength(head, 0L) > maximumBodyBytes) body.complete(BodyResult.TooLong)
     }
 
     /** Returns the value of the first header [name], or `null`. */
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/PipelinedRequestTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/PipelinedRequestTest.kt
@@ -76,6 +76,28 @@
             }
         }
 
+        // Guards against a caller that waits for an answer to a head that the decoder rejected.
+        test("a request with a malformed head is rejected at once, and its connection closes") {
+            withTargets(::respondWithId) { testbed, (target) ->
+                val malformed = listOf(
+                    "Content-Length: abc",
+                    "Content-Length: -1",
+                    "Content-Length: 1\r\nContent-Length: 2",
+                    "Content-Length: 99999999999999999999",
+                    "Header : value",
+                )
+                for (header in malformed) {
+                    testbed.connect().use { socket ->
+                        ScriptedTarget.write(socket, get("0") + get("1", headers = "$header\r\n"))
+                        testbed.readResponse(socket).status shouldBe 200
+                        testbed.readResponse(socket).status shouldBe 400
+                        socket.getInputStream().read() shouldBe -1
+                    }
+                }
+                target.received.map { it.id }.toSet() shouldBe setOf("0")
+            }
+        }
+
         test("a body that looks like an ambiguous head is no head") {
             withTargets(::respondWithId) { testbed, (target) ->
                 val body = "GET / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
