--- a/benchmark/src/main/kotlin/org/anvilshed/benchmark/micro/PlacementCost.kt
+++ b/benchmark/src/main/kotlin/org/anvilshed/benchmark/micro/PlacementCost.kt
@@ -99,7 +99,7 @@
     fun dispatch() = pool.dispatchWaiting(now)
 }
 
-/** Cost of placing a request among [targets] targets, and of looking for room for the waiting ones while all are full. */
+/** Cost of placing a request among [targets] targets, and of a look at the queue while all of them are full. */
 internal fun placementRow(targets: Int): List<Double> {
     val load = PlacementLoad(targets)
     val offer = measureCost(OFFER_ROUNDS) { load.offer(it) }
