--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
@@ -189,10 +189,13 @@
         return usualDeadlines.getOrPut(workloadClass) { TimeLimitEstimator() }.observe(callerLimit)
     }
 
-    private fun timedOut(request: ForwardedRequest): Reply = when {
-        request.isStreaming -> Reply.Streamed(isComplete = false)
-        request.mayHaveRun -> Reply.Failed(GATEWAY_TIMEOUT, "target-late")
-        else -> Reply.NotRun(SERVICE_UNAVAILABLE, "no-slot-in-time", DEFAULT_RETRY_AFTER)
+    private fun timedOut(request: ForwardedRequest): Reply {
+        request.streamedStatus?.let { return Reply.Streamed(it, isComplete = false) }
+        return if (request.mayHaveRun) {
+            Reply.Failed(GATEWAY_TIMEOUT, "target-late")
+        } else {
+            Reply.NotRun(SERVICE_UNAVAILABLE, "no-slot-in-time", DEFAULT_RETRY_AFTER)
+        }
     }
 
     private suspend fun writeReply(exchange: CallerExchange, reply: Reply) {
@@ -242,7 +245,7 @@
         val stream = exchange.request.startStream(
             ResponseHead(source.statusCode(), endToEndHeaders(source.headers()), length),
         )
-        exchange.forwarded?.isStreaming = true
+        exchange.forwarded?.streamedStatus = source.statusCode()
         var isComplete = false
         try {
             stream.write(result.head)
@@ -264,7 +267,7 @@
     private fun logReply(exchange: CallerExchange, reply: Reply, waited: Duration) {
         val (status, reason) = when (reply) {
             is Reply.FromTarget -> reply.result.status to "answered"
-            is Reply.Streamed -> OK to if (reply.isComplete) "streamed" else "stream-incomplete"
+            is Reply.Streamed -> reply.status to if (reply.isComplete) "streamed" else "stream-incomplete"
             is Reply.NotRun -> reply.status to reply.reason
             is Reply.Failed -> reply.status to reply.reason
         }
@@ -299,7 +302,6 @@
         request.headers.sumOf { it.key.length + it.value.length + HEADER_SEPARATOR_BYTES } + request.uri.length
 
     private companion object {
-        const val OK = 200
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
         const val REQUEST_TIMEOUT = 408
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/Reply.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/Reply.kt
@@ -11,9 +11,10 @@
     /**
      * Large response of a target, which was already forwarded as it arrived.
      *
+     * @property status HTTP status of the response.
      * @property isComplete whether the whole response was forwarded; otherwise the caller's connection was reset.
      */
-    class Streamed(val isComplete: Boolean) : Reply
+    class Streamed(val status: Int, val isComplete: Boolean) : Reply
 
     /**
      * The request did not run at any target and will not run later.
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
@@ -62,8 +62,8 @@
     /** Whether the request was sent to a target that has not responded yet. */
     var isAtTarget = false
 
-    /** Whether the caller already got a part of a target's response. */
-    var isStreaming = false
+    /** Status of the target's response of which the caller already got a part; `null` if there is none. */
+    var streamedStatus: Int? = null
 
     /** Whether the caller disconnected, so that the request must not be sent to another target. */
     var hasCallerLeft = false
@@ -230,7 +230,7 @@
             } else {
                 TargetOutcome.Broken
             }
-            AttemptResult.Final(Reply.Streamed(isComplete)) to outcome
+            AttemptResult.Final(Reply.Streamed(result.response.statusCode(), isComplete)) to outcome
         }
 
         is ExchangeResult.NotRun -> {
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/StreamedResponseTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/StreamedResponseTest.kt
@@ -1,13 +1,19 @@
 package org.anvilshed.gateway
 
+import ch.qos.logback.classic.Level
+import ch.qos.logback.classic.Logger
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.read.ListAppender
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import org.anvilshed.gateway.testbed.GatewayTestbed
 import org.anvilshed.gateway.testbed.ReceivedRequest
 import org.anvilshed.gateway.testbed.ScriptedTarget
 import org.anvilshed.gateway.testbed.withTargets
+import org.slf4j.LoggerFactory
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArraySet
 import java.util.concurrent.CountDownLatch
@@ -162,6 +168,33 @@
             }
         }
 
+        test("the log of a streamed reply has the status of its target, whether it was complete or not") {
+            val appender = ListAppender<ILoggingEvent>().apply { start() }
+            val logger = LoggerFactory.getLogger("anvilshed") as Logger
+            logger.addAppender(appender)
+            val formerLevel = logger.level
+            logger.level = Level.INFO
+            val partial = "HTTP/1.1 206 Partial Content\r\n"
+            withTargets({ request, socket ->
+                val isComplete = request.id == "whole"
+                val length = if (isComplete) LARGE.length else 2 * LARGE.length
+                ScriptedTarget.write(socket, "${partial}X-Id: ${request.id}\r\nContent-Length: $length\r\n\r\n$LARGE")
+                if (!isComplete) socket.close()
+            }) { testbed, _ ->
+                testbed.call("/safe/", id = "whole").status shouldBe 206
+                testbed.call("/safe/", id = "broken").complete shouldBe false
+                fun statuses() = appender.list.toList().filter { it.message == "reply" }.associate { event ->
+                    val fields = event.keyValuePairs.associate { it.key to it.value.toString() }
+                    fields["id"] to fields["status"]
+                }
+                GatewayTestbed.await { statuses().keys.containsAll(listOf("whole", "broken")) }
+                statuses()["whole"] shouldBe "206"
+                statuses()["broken"] shouldBe "206"
+            }
+            logger.level = formerLevel
+            logger.detachAppender(appender)
+        }
+
         test("a target stops sending while the caller does not read") {
             val written = AtomicLong()
             withTargets({ request, socket ->
