Keep each check and each state of the change in one place

One check for a target in service (RegionCapacity) instead of two; the state of reading only in the decoder; one read of the settings file for each look, so that an unreadable file is logged once and not twice. Behaviour is the same otherwise; no assertion changed.

--- a/core/src/main/kotlin/org/anvilshed/core/placement/RegionCapacity.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/RegionCapacity.kt
@@ -18,6 +18,9 @@
     /** Zones whose targets get no requests. */
     var evacuated: Set<ZoneName> = emptySet()
 
+    /** Returns whether the target of [load] may get requests: it is neither draining nor in an evacuated zone. */
+    fun isInService(load: TargetLoad): Boolean = !load.target.draining && load.target.zone !in evacuated
+
     /** Returns the estimated load of the region's targets as a fraction of their slots; 1 if there are no slots. */
     fun occupancy(now: MonotonicTime): Double {
         val local = localTargets()
@@ -56,8 +59,7 @@
 
     private fun localTargets(): List<TargetLoad> = loads().filter(::isUsableLocal)
 
-    private fun isUsableLocal(load: TargetLoad): Boolean =
-        !load.isRemote && !load.target.draining && load.target.zone !in evacuated
+    private fun isUsableLocal(load: TargetLoad): Boolean = !load.isRemote && isInService(load)
 
     private companion object {
         /**
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
@@ -74,12 +74,9 @@
     /** Returns whether [target] may get a request now; must be checked again immediately before each send. */
     public fun mayReceive(target: RegisteredTarget): Boolean {
         val load = loads[target.key] ?: return false
-        return isInService(load)
+        return capacity.isInService(load)
     }
 
-    private fun isInService(load: TargetLoad): Boolean =
-        !load.target.draining && load.target.zone !in capacity.evacuated
-
     /** Decides at [now] whether [request] is sent, waits or is refused. */
     public fun offer(request: PlacementRequest, now: MonotonicTime): Placement {
         val usable = usableTargets(request, now)
@@ -111,7 +108,7 @@
     public fun dispatchWaiting(now: MonotonicTime): List<Pair<WaitingRequest, Placement>> {
         if (waiting.isEmpty()) return emptyList()
         val decided = ArrayList<Pair<WaitingRequest, Placement>>()
-        val hasRoom = loads.values.any { isInService(it) && selector.hasRoom(it, now) }
+        val hasRoom = loads.values.any { capacity.isInService(it) && selector.hasRoom(it, now) }
         for ((index, ticket) in waiting.toList().withIndex()) {
             val isExamined = index < EXAMINED_LIMIT || now >= ticket.expiresAt
             val placement = if (isExamined) decideOrNull(ticket, hasRoom, now) else null
@@ -175,7 +172,7 @@
         return processingTime / expected.coerceAtLeast(1.milliseconds)
     }
 
-    private fun isEligible(load: TargetLoad, request: PlacementRequest): Boolean = isInService(load) &&
+    private fun isEligible(load: TargetLoad, request: PlacementRequest): Boolean = capacity.isInService(load) &&
         (request.excluded.isEmpty() || load.target.key !in request.excluded) &&
         (request.homeRegions.isEmpty() || load.region in request.homeRegions)
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/MemoryBudget.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/MemoryBudget.kt
@@ -3,12 +3,10 @@
 /**
  * Memory that all requests of the process may use together for one purpose. Confined to the event loop.
  *
- * @property limitBytes largest number of bytes that may be reserved at once.
+ * @param limitBytes largest number of bytes that may be reserved at once.
  */
-internal class MemoryBudget(val limitBytes: Long) {
-    /** Bytes that are reserved now. */
-    var reservedBytes = 0L
-        private set
+internal class MemoryBudget(private val limitBytes: Long) {
+    private var reservedBytes = 0L
 
     /** Returns an empty reservation, which must be released when its memory is not used any more. */
     fun newReservation(): Reservation = Reservation()
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/SettingsFile.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/SettingsFile.kt
@@ -36,7 +36,8 @@
     public suspend fun watch() {
         while (true) {
             delay(CHECK_PERIOD)
-            if (readOrNull() != latest) reload("changed")
+            val text = readOrNull()
+            if (text != null && text != latest) putIntoForce(text, "changed")
         }
     }
 
@@ -46,7 +47,10 @@
      * @param cause why the file is read, for the log.
      */
     public fun reload(cause: String) {
-        val text = readOrNull() ?: return
+        readOrNull()?.let { putIntoForce(it, cause) }
+    }
+
+    private fun putIntoForce(text: String, cause: String) {
         latest = text
         if (text == inForce) {
             log.info("settings-unchanged", "cause" to cause)
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerConnection.kt
@@ -53,7 +53,6 @@
     private var receiving: CallerRequest? = null
     private var unflushedWrites = 0
     private var lastProgress: MonotonicTime = clock()
-    private var isReading = true
     private var isClosing = false
 
     /** Whether a request has no complete response, or a response has not been passed to the operating system. */
@@ -190,7 +189,7 @@
     private fun close(lastWrite: Future<Void>?) {
         isClosing = true
         abortUnanswered(RequestEnd.BEHIND_CLOSING_RESPONSE)
-        if (!isReading) decoder.resume()
+        if (decoder.isPaused) decoder.resume()
         val channel = socket.channelHandlerContext().channel()
         val shutDownOutput = {
             (channel as DuplexChannel).shutdownOutput()
@@ -217,8 +216,7 @@
 
     private fun updateReading() {
         val mayRead = unanswered.size < MAXIMUM_PIPELINED_REQUESTS
-        if (mayRead == isReading || isClosing) return
-        isReading = mayRead
+        if (mayRead != decoder.isPaused || isClosing) return
         if (mayRead) decoder.resume() else decoder.pause()
     }
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerRequestDecoder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerRequestDecoder.kt
@@ -21,7 +21,10 @@
         HttpDecoderConfig().setMaxInitialLineLength(MAXIMUM_HEADER_BYTES).setMaxHeaderSize(MAXIMUM_HEADER_BYTES),
     ) {
     private var isBetweenRequests = true
-    private var isPaused = false
+
+    /** Whether nothing is decoded before [resume]. */
+    var isPaused = false
+        private set
     private lateinit var context: ChannelHandlerContext
 
     /** When the first byte of a still incomplete head arrived; `null` if there is no incomplete head. */
