Read the rate limit that a target states, and log and count the requests sent under it

No line said what a target stated.

Change: the header is read from each response whose identifier is right (not from 421, which another process sends). target-rate-limit says when a limit begins, changes, ends or can't be read; placement of a reply names the limit that was known at the send; anvilshed_target_sends_total counts sends by limit, anvilshed_rate_limited_targets the targets. No decision depends on it yet.

--- a/core/src/main/kotlin/org/anvilshed/core/placement/InFlightRequest.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/InFlightRequest.kt
@@ -35,10 +35,13 @@
     public val expectedTime: Duration
         get() = expectedProcessingTime
 
+    /** Rate limit that the target had stated when the request was sent, in requests per second. */
+    public val rateLimitAtSend: Double? = load.statedRate
+
     /** Figures on which the choice of the target was based, for the log. */
     public val reason: String
         get() = "load=%.1f/${load.target.slots} rank=$rank expected=${expectedTime.inWholeMilliseconds}ms"
-            .format(Locale.ROOT, loadAtSend)
+            .format(Locale.ROOT, loadAtSend) + rateLimitAtSend?.let { " limit=$it/s" }.orEmpty()
 }
 
 /** Outcome of sending a request to a target. */
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
@@ -130,6 +130,17 @@
         inFlight.load.recordOutcome(inFlight, outcome, if (isSample) learn(inFlight, processingTime) else null, now)
     }
 
+    /** Number of targets that state a rate limit. */
+    public val limitedTargetCount: Int
+        get() = loads.values.count { it.statedRate != null }
+
+    /**
+     * Records what the response to [inFlight] states about the rate limit of its target; returns whether that changes
+     * the limit.
+     */
+    public fun recordRateLimit(inFlight: InFlightRequest, statement: RateLimitStatement): Boolean =
+        inFlight.load.recordStatement(statement)
+
     /** Returns the time after the send of [inFlight] at which its answer is so late that the target may have failed. */
     public fun answerTimeout(inFlight: InFlightRequest): Duration {
         val processingTime = estimates.expected(inFlight.request.workloadClass, cachedProbability = 0.0)
--- a/core/src/main/kotlin/org/anvilshed/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/TargetLoad.kt
@@ -32,6 +32,10 @@
     /** Paces requests to the target while it is cold. */
     val coldPacer = ColdTargetPacer()
 
+    /** Requests per second that the target takes from all VMs, as it stated; `null` if it states no limit. */
+    var statedRate: Double? = null
+        private set
+
     /** Slots that the requests in flight of other VMs occupy, as these VMs announced. */
     var announcedSlotsOfOthers = 0.0
 
@@ -156,6 +160,18 @@
         failureRate += FAILURE_WEIGHT * ((if (failed) 1.0 else 0.0) - failureRate)
     }
 
+    /** Records the [statement] of a response; returns whether it changed the limit. */
+    fun recordStatement(statement: RateLimitStatement): Boolean {
+        val rate = when (statement) {
+            is RateLimitStatement.Limited -> statement.requestsPerSecond
+            RateLimitStatement.Unlimited -> null
+            RateLimitStatement.Unreadable -> statedRate
+        }
+        if (rate == statedRate) return false
+        statedRate = rate
+        return true
+    }
+
     /** Records whether the target had an object [cached] that was last sent [age] requests before. */
     fun observeObject(age: Long, cached: Boolean): Unit = objects.learn(age, cached)
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -229,7 +229,11 @@
         refreshPolicies(now)
         connections.closeUnused(directory.targets.mapTo(HashSet()) { it.key }, now)
         callers.closeStalled(now)
-        metrics.setGauges(serviceQueues.values.sumOf { it.pool.queueLength }, entryVms.live(now).size + 1)
+        metrics.setGauges(
+            queuedRequests = serviceQueues.values.sumOf { it.pool.queueLength },
+            rateLimitedTargets = serviceQueues.values.sumOf { it.pool.limitedTargetCount },
+            liveEntryVms = entryVms.live(now).size + 1,
+        )
     }
 
     private fun announce(now: MonotonicTime) = announcements.announce(isReady, feeds.revisions(), occupiedSlots(), now)
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/GatewayMetrics.kt
@@ -20,6 +20,10 @@
     private val targetFailures = Counter.builder().name("anvilshed_target_failures_total")
         .help("Sends without a usable answer by reason.").labelNames("reason").register(registry)
 
+    private val sends = Counter.builder().name("anvilshed_target_sends_total")
+        .help("Requests sent to targets by the limit that the target had: none, cold, stated, cold-and-stated.")
+        .labelNames("limit").register(registry)
+
     @Suppress("SpreadOperator") // The library accepts the bounds only as variable arguments.
     private val latency = Histogram.builder().name("anvilshed_reply_seconds")
         .help("Time from a caller's request to its final answer.").classicOnly()
@@ -27,6 +31,8 @@
 
     private val queued = Gauge.builder().name("anvilshed_queued_requests")
         .help("Requests that wait for a slot.").register(registry)
+    private val limitedTargets = Gauge.builder().name("anvilshed_rate_limited_targets")
+        .help("Targets that state a limit on the rate of requests.").register(registry)
     private val liveVms = Gauge.builder().name("anvilshed_live_entry_vms")
         .help("Entry VMs that this one hears, itself included.").register(registry)
 
@@ -39,12 +45,19 @@
     /** Counts a request to a target without a usable response. */
     public fun countTargetFailure(reason: String): Unit = targetFailures.labelValues(reason).inc()
 
+    /** Counts a request that was sent to a target; [isLimited] if the target states a rate limit. */
+    public fun countSend(isLimited: Boolean, isCold: Boolean) {
+        val limit = listOfNotNull("cold".takeIf { isCold }, "stated".takeIf { isLimited }).joinToString("-and-")
+        sends.labelValues(limit.ifEmpty { "none" }).inc()
+    }
+
     /** Records the time from a caller's request to its final response. */
     public fun observeLatency(waited: Duration): Unit = latency.observe(waited.toDouble(DurationUnit.SECONDS))
 
     /** Sets the gauges. */
-    public fun setGauges(queuedRequests: Int, liveEntryVms: Int) {
+    public fun setGauges(queuedRequests: Int, rateLimitedTargets: Int, liveEntryVms: Int) {
         queued.set(queuedRequests.toDouble())
+        limitedTargets.set(rateLimitedTargets.toDouble())
         liveVms.set(liveEntryVms.toDouble())
     }
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/RequestHeaderNames.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/RequestHeaderNames.kt
@@ -9,6 +9,7 @@
  * @property notExecuted set by a target that did not run the request.
  * @property expectedTarget name of the target for which a request is meant.
  * @property targetLoad number of running requests, of waiting requests and of slots of a target, separated by commas.
+ * @property targetRateLimit requests per second that a target takes from all entry VMs together, while it states them.
  */
 public data class RequestHeaderNames(
     public val requestId: String,
@@ -17,4 +18,5 @@
     public val notExecuted: String,
     public val expectedTarget: String,
     public val targetLoad: String,
+    public val targetRateLimit: String,
 )
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
@@ -9,6 +9,7 @@
 import org.anvilshed.core.fleet.RegisteredTarget
 import org.anvilshed.core.placement.Placement
 import org.anvilshed.core.placement.PlacementRequest
+import org.anvilshed.core.placement.RateLimitStatement
 import org.anvilshed.core.placement.TargetOutcome
 import org.anvilshed.gateway.DecisionLog
 import org.anvilshed.gateway.EventLoopMonitor
@@ -194,7 +195,14 @@
         val mayHaveRunBefore = request.mayHaveRun
         request.mayHaveRun = true
         request.isAtTarget = true
-        val exchange = TargetExchange(connection, withTargetHeaders(request, send), headerNames, request.responseMemory)
+        metrics.countSend(send.inFlight.rateLimitAtSend != null, send.cold)
+        val exchange = TargetExchange(
+            connection = connection,
+            request = withTargetHeaders(request, send),
+            headerNames = headerNames,
+            responseMemory = request.responseMemory,
+            onRateLimit = { recordRateLimit(queue, request, send, it) },
+        )
         try {
             val result = awaitResult(queue, request, send, exchange)
             val attempt = if (result == null) targetSilent() else attemptResult(request, send, result, mayHaveRunBefore)
@@ -210,6 +218,24 @@
         }
     }
 
+    private fun recordRateLimit(
+        queue: ServiceQueue,
+        request: ForwardedRequest,
+        send: Placement.Send,
+        statement: RateLimitStatement,
+    ) {
+        val isChanged = queue.pool.recordRateLimit(send.inFlight, statement)
+        if (!isChanged && statement != RateLimitStatement.Unreadable) return
+        log.request(
+            "target-rate-limit",
+            "id" to request.target.id,
+            "target" to send.target.key.name,
+            "started_at" to send.target.key.startedAtMillis,
+            "at_send" to send.inFlight.rateLimitAtSend,
+            "stated" to statement,
+        )
+    }
+
     private fun targetSilent(): Pair<AttemptResult, TargetOutcome> =
         AttemptResult.Retryable(Reply.Failed(GATEWAY_TIMEOUT, "target-silent"), "target-silent") to TargetOutcome.Broken
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
@@ -8,6 +8,7 @@
 import io.vertx.core.http.RequestOptions
 import kotlinx.coroutines.CompletableDeferred
 import org.anvilshed.core.placement.LoadReport
+import org.anvilshed.core.placement.RateLimitStatement
 import org.anvilshed.gateway.MemoryBudget
 import org.anvilshed.gateway.RequestHeaderNames
 import kotlin.time.Duration.Companion.seconds
@@ -56,12 +57,14 @@
  * Single exchange of a request and its response on a connection to a target.
  *
  * @param responseMemory memory for holding the response; a response that does not fit is streamed.
+ * @param onRateLimit called with the statement of the response as soon as its head has arrived.
  */
 internal class TargetExchange(
     private val connection: TargetConnection,
     private val request: TargetRequest,
     private val headerNames: RequestHeaderNames,
     private val responseMemory: MemoryBudget.Reservation,
+    private val onRateLimit: (RateLimitStatement) -> Unit,
 ) {
     private val headArrived = CompletableDeferred<Unit>()
     private val result = CompletableDeferred<ExchangeResult>()
@@ -112,6 +115,10 @@
         }
         headArrived.complete(Unit)
         applyKeepAlive(response)
+        // Another process answers with this status; it says nothing about the target.
+        if (response.statusCode() != MISDIRECTED) {
+            onRateLimit(RateLimitStatement.parse(response.headers().getAll(headerNames.targetRateLimit)))
+        }
         val report = parseLoadReport(response.getHeader(headerNames.targetLoad))
         val body = Buffer.buffer()
         var failure: String? = null
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
@@ -51,6 +51,7 @@
     notExecuted = "X-Not-Run",
     expectedTarget = "X-Target",
     targetLoad = "X-Load",
+    targetRateLimit = "X-Rate-Limit",
 )
 
 private val DECODERS = StoreDecoders(
