Keep the rate limits that targets state, in parts that all VMs share

Cause: placement knew slots, load and failures of a target, but not the rate that it takes from all VMs together. The mechanism for such a rate was tied to cold targets.

A few senders for each target, chosen by rendezvous hashing, divide the rate by the use that they announce; credit grows with the part and can't be saved up. The announcement has a new optional field, which older builds skip. The limit belongs to one life of a target; the statement made last counts, whichever VM got it, so that its end also reaches VMs that do not send. The wait for credit counts in the expected latency, so a request that can't be served in time is refused at once.

Why it works: each send passes SharedRateLimiter, and the parts add up to the limit if the VMs know each other's use; a silent VM's part stays reserved.

--- a/core/src/main/kotlin/org/anvilshed/core/placement/InFlightRequest.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/InFlightRequest.kt
@@ -36,7 +36,7 @@
         get() = expectedProcessingTime
 
     /** Rate limit that the target had stated when the request was sent, in requests per second. */
-    public val rateLimitAtSend: Double? = load.statedRate
+    public val rateLimitAtSend: Double? = load.rateLimit.requestsPerSecondOrNull
 
     /** Figures on which the choice of the target was based, for the log. */
     public val reason: String
--- a/core/src/main/kotlin/org/anvilshed/core/placement/PlacementSettings.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/PlacementSettings.kt
@@ -3,6 +3,7 @@
 import org.anvilshed.core.RegionName
 import org.anvilshed.core.ZoneName
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Location of this VM and the limits that placement keeps.
@@ -16,6 +17,7 @@
  * @property coldSlack requests in one second that a cold target may get in addition to [coldOvershoot].
  * @property maximumShift largest change, from 0 to 1, of the fraction of a region's requests that another region serves
  *   between two successive windows of [SHIFT_WINDOW].
+ * @property statedRateTolerance tolerance of the limits that targets state on the requests of all VMs together.
  */
 public data class PlacementSettings(
     public val zone: ZoneName,
@@ -26,6 +28,7 @@
     public val coldOvershoot: Double,
     public val coldSlack: Double,
     public val maximumShift: Double,
+    public val statedRateTolerance: RateTolerance = RateTolerance(4.seconds, overshoot = 1.5, slack = 5.0),
 ) {
     /** Region of this VM, or `null` if [regions] does not contain [zone]. */
     public val region: RegionName?
--- a/core/src/main/kotlin/org/anvilshed/core/placement/RegionCapacity.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/RegionCapacity.kt
@@ -5,13 +5,18 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.ZERO
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 
 /**
  * Slots of the targets of one service, both those of this VM's region and those that this VM gets. Not thread-safe.
  *
  * @param loads all targets of the service.
+ * @param rateOf part of a target's rate limit that this VM has, in requests per second; infinite without a limit.
  */
-internal class RegionCapacity(private val loads: () -> Collection<TargetLoad>) {
+internal class RegionCapacity(
+    private val rateOf: (TargetLoad, MonotonicTime) -> Double,
+    private val loads: () -> Collection<TargetLoad>,
+) {
     private var peakSlots = 0
     private var peakSlotsAt = MonotonicTime(0)
 
@@ -46,7 +51,15 @@
      */
     fun queueWait(waiting: Int, averageProcessingTime: Duration, now: MonotonicTime): Duration {
         if (waiting == 0) return ZERO
-        return averageProcessingTime * (waiting / loads().sumOf { obtainableSlots(it, now) }.coerceAtLeast(1.0))
+        var slots = 0.0
+        var isLimited = false
+        for (load in loads()) {
+            // A rate limit keeps as many slots busy as requests start in the time that one takes.
+            val limit = rateOf(load, now) * averageProcessingTime.toDouble(DurationUnit.SECONDS)
+            if (limit < load.target.slots) isLimited = true
+            slots += minOf(obtainableSlots(load, now), limit)
+        }
+        return averageProcessingTime * (waiting / slots.coerceAtLeast(if (isLimited) MINIMUM_LIMITED_SLOTS else 1.0))
     }
 
     /** Returns the slots of a target that this VM gets: its part of the occupied ones, and free ones if it is local. */
@@ -68,5 +81,8 @@
          */
         const val LOST_SLOTS_FRACTION = 0.8
         val PEAK_LIFETIME = 10.seconds
+
+        /** Bounds the expected wait if rate limits leave this VM hardly any slots. */
+        const val MINIMUM_LIMITED_SLOTS = 0.1
     }
 }
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
@@ -33,11 +33,11 @@
     private val loads = LinkedHashMap<TargetKey, TargetLoad>()
     private val waiting = TreeSet(WaitingRequest.DISPATCH_ORDER)
     private val estimates = ProcessingTimeEstimates()
-    private val capacity = RegionCapacity { loads.values }
-    private val coldStartLimiter = ServiceColdStartLimiter(self, settings)
+    private val rateLimiter = SharedRateLimiter(self, settings)
+    private val capacity = RegionCapacity(rateLimiter::requestsPerSecond) { loads.values }
     private val affinity = ObjectAffinity(capacity)
     private val selector =
-        TargetSelector(settings, shiftLimiter, roundTripTime, estimates, capacity, affinity, coldStartLimiter)
+        TargetSelector(settings, shiftLimiter, roundTripTime, estimates, capacity, affinity, rateLimiter)
     private var nextSequence = 0L
 
     /** Number of waiting requests. */
@@ -63,8 +63,7 @@
     }
 
     /** Replaces the limits of the service and the names of the VMs, [members], that share them. */
-    public fun updatePolicy(policy: ServicePolicy?, members: List<String>): Unit =
-        coldStartLimiter.update(policy, members)
+    public fun updatePolicy(policy: ServicePolicy?, members: List<String>): Unit = rateLimiter.update(policy, members)
 
     /** Replaces the announced slots; [slotsOf] returns those that requests of other VMs occupy at the named target. */
     public fun updateAnnouncedSlots(slotsOf: (String) -> Double) {
@@ -132,14 +131,23 @@
 
     /** Number of targets that state a rate limit. */
     public val limitedTargetCount: Int
-        get() = loads.values.count { it.statedRate != null }
+        get() = loads.values.count { it.rateLimit.requestsPerSecondOrNull != null }
 
     /**
-     * Records what the response to [inFlight] states about the rate limit of its target; returns whether that changes
-     * the limit.
+     * Records what the response to [inFlight], which arrived at [now], states about the rate limit of its target;
+     * returns whether that changes the limit.
      */
-    public fun recordRateLimit(inFlight: InFlightRequest, statement: RateLimitStatement): Boolean =
-        inFlight.load.recordStatement(statement)
+    public fun recordRateLimit(inFlight: InFlightRequest, statement: RateLimitStatement, now: MonotonicTime): Boolean =
+        inFlight.load.rateLimit.record(statement, now)
+
+    /** Returns what other VMs need to know at [now] about the targets that state a rate limit, or did so recently. */
+    public fun rateUses(now: MonotonicTime): List<TargetRateUse> =
+        loads.values.mapNotNull { it.rateLimit.useOrNull(it.target.key, now) }
+
+    /** Replaces what other VMs announced about the rate limits of targets, which [announced] returns. */
+    public fun updateAnnouncedRates(announced: (TargetKey) -> AnnouncedTargetRate?) {
+        for (load in loads.values) load.rateLimit.recordAnnounced(announced(load.target.key))
+    }
 
     /** Returns the time after the send of [inFlight] at which its answer is so late that the target may have failed. */
     public fun answerTimeout(inFlight: InFlightRequest): Duration {
@@ -201,7 +209,6 @@
         now: MonotonicTime,
     ): Placement.Send {
         val cold = load.isCold(now)
-        if (cold) coldStartLimiter.recordSent(load, now)
         load.region?.let { shiftLimiter.recordSent(it, now) }
         val rank = choice.rankOf(load)
         val processingTime = estimates.expected(request.workloadClass, affinity.hitRate(request, rank))
@@ -237,7 +244,10 @@
         }
         // A late answer from a slot that is free now is better than a refusal.
         if (choice.free != null && choice.freeLatency <= timeLeft) return send(request, choice.free, choice, now)
-        if (timeLeft < latency) return Placement.Refuse(PlacementRefusalReason.DEADLINE, wait + MINIMUM_RETRY_DELAY)
+        val rateDelay = choice.bestRateDelay.coerceAtMost(MAXIMUM_RATE_RETRY_DELAY)
+        if (timeLeft < latency) {
+            return Placement.Refuse(PlacementRefusalReason.DEADLINE, maxOf(wait, rateDelay) + MINIMUM_RETRY_DELAY)
+        }
         return Placement.Refuse(PlacementRefusalReason.OVERLOADED, wait - maximumWait + MINIMUM_RETRY_DELAY)
     }
 
@@ -268,6 +278,9 @@
         const val ANSWER_TIMEOUT_FACTOR = 4
         val MINIMUM_ANSWER_TIMEOUT = 400.milliseconds
         val MINIMUM_RETRY_DELAY = 50.milliseconds
+
+        /** A caller that returns may reach another VM, which may send to a rate-limited target sooner. */
+        val MAXIMUM_RATE_RETRY_DELAY = 1.seconds
         val MAXIMUM_LATENCY_ESTIMATE = 60.seconds
 
         /** Time that store events take to announce new targets after a loss. */
--- a/core/src/main/kotlin/org/anvilshed/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/TargetLoad.kt
@@ -29,12 +29,13 @@
     private var suspension = INITIAL_SUSPENSION
     private var suspendedUntil = createdAt
 
-    /** Paces requests to the target while it is cold. */
-    val coldPacer = ColdTargetPacer()
+    /** Limit on the rate of requests that the target stated. */
+    val rateLimit = TargetRateLimit()
 
-    /** Requests per second that the target takes from all VMs, as it stated; `null` if it states no limit. */
-    var statedRate: Double? = null
-        private set
+    /** Credit for requests while the rate of the target is limited. */
+    val rateCredit = RateCredit()
+    private var senderPosition = 0
+    private var senderPositionVersion = -1
 
     /** Slots that the requests in flight of other VMs occupy, as these VMs announced. */
     var announcedSlotsOfOthers = 0.0
@@ -47,8 +48,8 @@
     var failureRate = 0.0
         private set
 
-    private var lastSentAt: MonotonicTime = createdAt
-    private var wasUsed = false
+    /** When this VM last sent a request to the target, or `null` if it never did. */
+    private var lastSentAtOrNull: MonotonicTime? = null
     private val nameHash = target.key.name.hashCode()
 
     /** Number of this VM's requests in flight at the target. */
@@ -85,7 +86,7 @@
     /** Returns whether the target should get a request to measure it: it is new, or was slow or failing before. */
     fun needsExploration(now: MonotonicTime): Boolean {
         if (inFlightRequests.isNotEmpty() || announcedSlotsOfOthers > 0.0) return false
-        if (!wasUsed) return true
+        val lastSentAt = lastSentAtOrNull ?: return true
         val isSuspect = slowdown > SUSPECT_SLOWDOWN || failureRate > SUSPECT_FAILURE_RATE
         return isSuspect && now - lastSentAt >= EXPLORATION_PERIOD * slowdown.coerceIn(1.0, MAXIMUM_SLOWDOWN)
     }
@@ -107,8 +108,9 @@
         inFlightRequests.add(inFlight)
         occupiedSlots += inFlight.slotFraction
         inFlight.request.objectKey?.let(objects::recordSent)
-        lastSentAt = now
-        wasUsed = true
+        rateLimit.recordSent(now)
+        rateCredit.recordSent(now)
+        lastSentAtOrNull = now
     }
 
     /**
@@ -160,16 +162,13 @@
         failureRate += FAILURE_WEIGHT * ((if (failed) 1.0 else 0.0) - failureRate)
     }
 
-    /** Records the [statement] of a response; returns whether it changed the limit. */
-    fun recordStatement(statement: RateLimitStatement): Boolean {
-        val rate = when (statement) {
-            is RateLimitStatement.Limited -> statement.requestsPerSecond
-            RateLimitStatement.Unlimited -> null
-            RateLimitStatement.Unreadable -> statedRate
+    /** Returns [SharedRate.senderPosition]; computed once for each [version] of [members]. */
+    fun senderPosition(version: Int, self: String, members: List<String>): Int {
+        if (version != senderPositionVersion) {
+            senderPosition = SharedRate.senderPosition(target.key.name, self, members)
+            senderPositionVersion = version
         }
-        if (rate == statedRate) return false
-        statedRate = rate
-        return true
+        return senderPosition
     }
 
     /** Records whether the target had an object [cached] that was last sent [age] requests before. */
--- a/core/src/main/kotlin/org/anvilshed/core/placement/TargetSelector.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/TargetSelector.kt
@@ -6,6 +6,7 @@
 import kotlin.math.ceil
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Targets that were chosen for one request.
@@ -13,6 +14,7 @@
  * @property best target with the lowest cost, which may be full; targets that have room but may not be used are left
  *   out if there is a [free] one.
  * @property bestLatency expected time until an answer of [best].
+ * @property bestRateDelay part of [bestLatency] until the rate limit of [best] allows this VM to send to it.
  * @property free target with the lowest cost among those that may get the request now, or `null` if there is none.
  * @property freeLatency expected time until an answer of [free]; infinite if there is none.
  * @property rankOf returns the rank of a target for the object of the request.
@@ -20,6 +22,7 @@
 internal class TargetChoice(
     val best: TargetLoad,
     val bestLatency: Duration,
+    val bestRateDelay: Duration,
     val free: TargetLoad?,
     val freeLatency: Duration,
     val rankOf: (TargetLoad) -> ObjectRank,
@@ -36,7 +39,7 @@
     private val estimates: ProcessingTimeEstimates,
     private val capacity: RegionCapacity,
     private val affinity: ObjectAffinity,
-    private val coldStartLimiter: ServiceColdStartLimiter,
+    private val rateLimiter: SharedRateLimiter,
 ) {
     /** Target with its figures for one request; times are in milliseconds. */
     private class Candidate(
@@ -44,6 +47,7 @@
         val rank: ObjectRank,
         val estimatedLoad: Double,
         val latency: Double,
+        val rateDelay: Duration,
         val cost: Double,
         val isRequired: Boolean,
     )
@@ -71,6 +75,7 @@
         return TargetChoice(
             best = best.load,
             bestLatency = best.latency.milliseconds,
+            bestRateDelay = best.rateDelay,
             free = free?.load,
             freeLatency = free?.latency?.milliseconds ?: Duration.INFINITE,
             rankOf = ranks::of,
@@ -79,7 +84,7 @@
 
     /** Returns whether [load] may have one more request of any rank at [now]. */
     fun hasRoom(load: TargetLoad, now: MonotonicTime): Boolean =
-        load.estimatedLoad(now) < roomLimit(load, ObjectRank.ANY) - HALF_SLOT
+        load.estimatedLoad(now) < roomLimit(load, ObjectRank.ANY) - HALF_SLOT && rateLimiter.allows(load, now)
 
     private fun candidates(
         request: PlacementRequest,
@@ -102,12 +107,13 @@
             // Requests that are ahead in the queue of the target.
             val ahead = (estimatedLoad - load.target.slots + 1).coerceAtLeast(0.0)
             val slowdown = if (load.isCold(now)) TargetLoad.COLD_SLOWDOWN else load.currentSlowdown(now)
-            val latency = milliseconds(roundTripTime(load.target.zone)) +
+            val rateDelay = rateLimiter.delay(load, now).coerceAtMost(MAXIMUM_RATE_DELAY)
+            val latency = milliseconds(roundTripTime(load.target.zone) + rateDelay) +
                 (processingTime + averageProcessingTime * (ahead / load.target.slots)) * slowdown
             val isRequired = requiredRegion != null && load.region == requiredRegion
             val cost = latency + processingTime * surchargeFraction(load, rank, estimatedLoad, now)
             val discountedCost = if (isRequired) cost * REQUIRED_REGION_DISCOUNT else cost
-            Candidate(load, rank, estimatedLoad, latency, discountedCost, isRequired)
+            Candidate(load, rank, estimatedLoad, latency, rateDelay, discountedCost, isRequired)
         }
     }
 
@@ -135,9 +141,9 @@
         }
     }
 
-    /** Returns whether the limits for other regions and for cold targets allow a request to the target at [now]. */
+    /** Returns whether the limits for other regions and on the target's rate allow a request to it at [now]. */
     private fun mayUse(load: TargetLoad, shift: ShiftPermissions, now: MonotonicTime): Boolean =
-        shift.allows(load) && (!load.isCold(now) || coldStartLimiter.allows(load, now))
+        rateLimiter.allows(load, now) && shift.allows(load)
 
     /** Returns what the choice of a target costs in addition to the latency, as a fraction of the processing time. */
     private fun surchargeFraction(
@@ -187,6 +193,9 @@
         /** Assumed round trip between caller and VM; counts towards the latency objective, and VMs can't measure it. */
         val CALLER_ROUND_TRIP = 10.milliseconds
 
+        /** Stands for the delay of a target to which only other VMs send; longer than any request may wait. */
+        private val MAXIMUM_RATE_DELAY = 60.seconds
+
         /** Cost of the occupied slot: the longer one request occupies it, the fewer other requests it serves. */
         private const val SLOT_COST = 0.5
 
--- a/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
@@ -111,6 +111,61 @@
             lookups shouldBe 0
         }
 
+        // Guards against ways past the limit: requests that leave the queue together, retries, and cached objects.
+        test("no request gets past a stated rate limit, whether it is new, waited or is a retry for a cached object") {
+            val pool = pool(target("a", slots = 8))
+            pool.learn(1, 300.milliseconds)
+            val sentAt = ArrayList<MonotonicTime>()
+            val running = ArrayList<Placement.Send>()
+            fun take(placement: Placement, now: MonotonicTime) {
+                if (placement !is Placement.Send) return
+                sentAt.add(now)
+                running.add(placement)
+                pool.recordRateLimit(placement.inFlight, RateLimitStatement.Limited(2.0), now)
+            }
+            for (step in 0 until 12_000 step 20) {
+                val now = START + step.milliseconds
+                repeat(3) { take(pool.offer(request(now, 1, 2.seconds, 4.seconds, key = "object"), now), now) }
+                pool.dispatchWaiting(now).forEach { (_, placement) -> take(placement, now) }
+                val ended = running.filter { now - it.inFlight.sentAt >= 100.milliseconds }
+                running.removeAll(ended)
+                ended.forEach { pool.finish(it.inFlight, ANSWERED, now) }
+            }
+            val inWindows = sentAt.map { end -> sentAt.count { it > end - 4.seconds && it <= end } }
+            // The first requests of the queue are sent before the first response states the limit.
+            inWindows.max() shouldBeLessThanOrEqual 2 * 4 + 1
+            sentAt.size shouldBeGreaterThan 20
+        }
+
+        // Guards against callers that wait for a target which takes no more requests in time, or return too early.
+        test("a request that a rate limit keeps from its only target is refused at once, with the time to return") {
+            val pool = pool(target("a", slots = 8))
+            pool.learn(1, 300.milliseconds)
+            val first = pool.send(START)
+            pool.recordRateLimit(first.inFlight, RateLimitStatement.Limited(0.5), START)
+            val refused = pool.offer(request(START, deadline = 1.seconds), START).shouldBeInstanceOf<Placement.Refuse>()
+            refused.reason shouldBe PlacementRefusalReason.DEADLINE
+            refused.retryAfter shouldBeGreaterThan 900.milliseconds
+            pool.send(START + 4.seconds)
+        }
+
+        test("a waiting request is not examined while the only target with free slots is kept by its rate limit") {
+            var lookups = 0
+            val pool = ServicePool("vm", { SETTINGS }, ShiftChangeLimiter({ 0.15 }, RegionName("home"))) {
+                lookups++
+                1.milliseconds
+            }
+            pool.updateTargets(listOf(target("a", slots = 8)), emptySet(), START - 10.seconds)
+            pool.updatePolicy(ServicePolicy(100, 3.seconds, 10.0), listOf("vm"))
+            val first = pool.send(START)
+            pool.recordRateLimit(first.inFlight, RateLimitStatement.Limited(2.0), START)
+            pool.offer(request(START, 1, 2.seconds, 4.seconds), START).shouldBeInstanceOf<Placement.Wait>()
+            lookups = 0
+            pool.dispatchWaiting(START + 100.milliseconds) shouldHaveSize 0
+            lookups shouldBe 0
+            pool.dispatchWaiting(START + 1.seconds) shouldHaveSize 1
+        }
+
         // Guards against a shortcut that leaves requests waiting for targets that are all gone.
         test("waiting requests are refused at once when their service has no target any more") {
             val pool = pool(target("a", slots = 1))
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -22,6 +22,8 @@
 import org.anvilshed.core.placement.ShiftChangeLimiter
 import org.anvilshed.gateway.callers.CallerRequest
 import org.anvilshed.gateway.callers.CallerServer
+import org.anvilshed.gateway.peers.AnnouncedLoad
+import org.anvilshed.gateway.peers.AnnouncedRate
 import org.anvilshed.gateway.peers.Announcement
 import org.anvilshed.gateway.peers.AnnouncementExchange
 import org.anvilshed.gateway.peers.AnnouncementSocket
@@ -236,9 +238,17 @@
         )
     }
 
-    private fun announce(now: MonotonicTime) = announcements.announce(isReady, feeds.revisions(), occupiedSlots(), now)
+    private fun announce(now: MonotonicTime) =
+        announcements.announce(isReady, feeds.revisions(), announcedLoad(now), now)
 
-    private fun announceNow() = announcements.announceNow(isReady, feeds.revisions(), occupiedSlots(), clock())
+    private fun announceNow() {
+        val now = clock()
+        announcements.announceNow(isReady, feeds.revisions(), announcedLoad(now), now)
+    }
+
+    private fun announcedLoad(now: MonotonicTime) = AnnouncedLoad(occupiedSlots()) {
+        serviceQueues.values.flatMap { it.pool.rateUses(now) }.map { AnnouncedRate.of(it, now) }
+    }
 
     private fun occupiedSlots(): Map<Int, Int> {
         val result = HashMap<Int, Int>()
@@ -266,8 +276,10 @@
         for (peer in entryVms.live(now)) {
             for ((hash, count) in peer.announcement.occupiedSlots) sums.merge(hash, count, Int::plus)
         }
+        val rates = AnnouncedRate.sum(entryVms.possibleSenders(now))
         for (queue in serviceQueues.values) {
             queue.pool.updateAnnouncedSlots { (sums[Announcement.targetHash(it)] ?: 0) / Announcement.SLOT_UNITS }
+            queue.pool.updateAnnouncedRates { rates[AnnouncedRate.hashOf(it)] }
         }
     }
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/Announcement.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/Announcement.kt
@@ -22,6 +22,7 @@
  * @property revisions store revision of the last change that this VM knows, by [StoreKind.ordinal].
  * @property occupiedSlots slots that this VM's requests in flight occupy, times [SLOT_UNITS], by [targetHash].
  * @property peers hosts of a few VMs whose announcements this VM received recently.
+ * @property rates what this VM knows about targets that state a rate limit; absent from older builds.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -36,6 +37,7 @@
     @CborLabel(7) public val revisions: List<Long>,
     @CborLabel(8) public val occupiedSlots: Map<Int, Int>,
     @CborLabel(9) public val peers: List<String>,
+    @CborLabel(10) public val rates: List<AnnouncedRate> = emptyList(),
 ) {
     /** Returns this announcement as the bytes of a datagram. */
     public fun encode(): ByteArray = format.encodeToByteArray(this)
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/AnnouncementExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/AnnouncementExchange.kt
@@ -7,6 +7,14 @@
 import org.anvilshed.gateway.GatewaySettings
 import kotlin.time.Duration.Companion.milliseconds
 
+/**
+ * Load that a VM announces.
+ *
+ * @property occupiedSlots slots that this VM's requests in flight occupy, as in [Announcement.occupiedSlots].
+ * @property rates returns what this VM knows about targets that state a rate limit.
+ */
+internal class AnnouncedLoad(val occupiedSlots: Map<Int, Int>, val rates: () -> List<AnnouncedRate>)
+
 /**
  * Sends the announcements of this VM to the others when they are due, and applies the announcements of others.
  *
@@ -35,7 +43,8 @@
     private val candidateHosts = HashSet<String>()
 
     /** Sends the announcement to the VMs for which it is due at [now]. */
-    fun announce(acceptsCallers: Boolean, revisions: List<Long>, occupiedSlots: Map<Int, Int>, now: MonotonicTime) {
+    fun announce(acceptsCallers: Boolean, revisions: List<Long>, load: AnnouncedLoad, now: MonotonicTime) {
+        val occupiedSlots = load.occupiedSlots
         val inRegionPeriod = if (occupiedSlots == announcedSlots) IDLE_IN_REGION_PERIOD else IN_REGION_PERIOD
         val isInRegionDue = now - sentInRegionAt >= inRegionPeriod
         val isBetweenRegionsDue = now - sentBetweenRegionsAt >= BETWEEN_REGIONS_PERIOD
@@ -57,15 +66,15 @@
         if (isBetweenRegionsDue) sentBetweenRegionsAt = now
         announcedSlots = occupiedSlots
         if (hosts.isEmpty()) return
-        val datagram = announcement(acceptsCallers, revisions, occupiedSlots, live).encode()
+        val datagram = announcement(acceptsCallers, revisions, load, live).encode()
         for (host in hosts) send(datagram, host)
     }
 
     /** Sends the announcement to all live VMs immediately, for urgent changes. */
-    fun announceNow(acceptsCallers: Boolean, revisions: List<Long>, occupiedSlots: Map<Int, Int>, now: MonotonicTime) {
+    fun announceNow(acceptsCallers: Boolean, revisions: List<Long>, load: AnnouncedLoad, now: MonotonicTime) {
         sentInRegionAt = MonotonicTime(Long.MIN_VALUE / 2)
         sentBetweenRegionsAt = sentInRegionAt
-        announce(acceptsCallers, revisions, occupiedSlots, now)
+        announce(acceptsCallers, revisions, load, now)
     }
 
     /** Applies an announcement of another VM that arrived at [now]; returns what it changed. */
@@ -88,23 +97,20 @@
         addresses.forEach { if (candidateHosts.size < CANDIDATE_LIMIT) candidateHosts.add(it.host) }
     }
 
-    private fun announcement(
-        acceptsCallers: Boolean,
-        revisions: List<Long>,
-        occupiedSlots: Map<Int, Int>,
-        live: List<PeerVm>,
-    ) = Announcement(
-        name = settings.name.value,
-        startedAtMillis = startedAtMillis,
-        zone = settings.placement.zone.value,
-        callers = settings.listen.callers.toString(),
-        control = settings.listen.control.toString(),
-        acceptsCallers = acceptsCallers,
-        sequence = ++sequence,
-        revisions = revisions,
-        occupiedSlots = occupiedSlots,
-        peers = live.map { it.control.host }.shuffled().take(ANNOUNCED_PEERS),
-    )
+    private fun announcement(acceptsCallers: Boolean, revisions: List<Long>, load: AnnouncedLoad, live: List<PeerVm>) =
+        Announcement(
+            name = settings.name.value,
+            startedAtMillis = startedAtMillis,
+            zone = settings.placement.zone.value,
+            callers = settings.listen.callers.toString(),
+            control = settings.listen.control.toString(),
+            acceptsCallers = acceptsCallers,
+            sequence = ++sequence,
+            revisions = revisions,
+            occupiedSlots = load.occupiedSlots,
+            rates = load.rates(),
+            peers = live.map { it.control.host }.shuffled().take(ANNOUNCED_PEERS),
+        )
 
     private fun isInOwnRegion(peer: PeerVm): Boolean = regionOf(peer) == settings.region
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/KnownEntryVms.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/KnownEntryVms.kt
@@ -77,6 +77,14 @@
             RETENTION
     }
 
+    /**
+     * Returns the VMs that may still send requests to targets at [now]; a VM that is silent since it stopped to accept
+     * callers has ended.
+     */
+    public fun possibleSenders(now: MonotonicTime): List<PeerVm> = recentlyLive(now).filter {
+        it.announcement.acceptsCallers || now - it.receivedAt < SILENCE_LIMIT
+    }
+
     /** Returns the sorted names of all VMs that may use a part of a shared limit, including this VM. */
     public fun limitParticipants(now: MonotonicTime): List<String> =
         (registered + recentlyLive(now).map { it.name.value } + self.value).sorted()
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
@@ -224,7 +224,7 @@
         send: Placement.Send,
         statement: RateLimitStatement,
     ) {
-        val isChanged = queue.pool.recordRateLimit(send.inFlight, statement)
+        val isChanged = queue.pool.recordRateLimit(send.inFlight, statement, clock())
         if (!isChanged && statement != RateLimitStatement.Unreadable) return
         log.request(
             "target-rate-limit",
