--- a/gateway/src/main/kotlin/org/anvilshed/gateway/FleetFeeds.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/FleetFeeds.kt
@@ -68,6 +68,8 @@
             } else if (state.replace(config)) {
                 log.info("config-in-force", "version" to config.version, "routes" to config.routes.size)
                 onConfigChanged()
+            } else {
+                log.info("config-kept", "version" to state.currentOrNull?.config?.version, "received" to config.version)
             }
         }
     }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/ObjectStore.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/ObjectStore.kt
@@ -71,6 +71,13 @@
 
 /** Store of versioned objects that all entry VMs share. */
 public interface ObjectStore {
+    /**
+     * Number of times that the store was restored from an older copy, by its latest response; 0 if unknown.
+     *
+     * A restored store lacks its last changes and assigns their revisions again.
+     */
+    public val era: Long
+
     /** Lists all objects of [kind]; with [staleAllowed] the listing may be several seconds old and is charged less. */
     public suspend fun list(kind: StoreKind, staleAllowed: Boolean = false): StoreResult<StoreListing>
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
@@ -102,6 +102,14 @@
         val result = store.list(kind)
         if (result !is StoreResult.Success) return result.withoutValue()
         val listing = result.value
+        log.info(
+            "feed-listed",
+            "kind" to kind,
+            "objects" to listing.objects.size,
+            "revision" to listing.revision,
+            "known" to changedRevision,
+            "era" to store.era,
+        )
         // A listing that is older than an adopted copy of a peer would revert changes that are in effect.
         if (listing.revision >= changedRevision) applyListing(listing, wasUnreachableRecently())
         watchRevision = maxOf(listing.revision, watchRevision)
@@ -112,10 +120,23 @@
         val result = store.watch(kind, watchRevision, WATCH_WAIT)
         if (result !is StoreResult.Success) return result.withoutValue()
         val changes = result.value
+        if (changes.revision < watchRevision) {
+            log.info("feed-went-back", "kind" to kind, "from" to watchRevision, "to" to changes.revision)
+        }
         val events = changes.events.filter {
             it.changed.revision > (objects[it.changed.name]?.revision ?: 0) ||
                 it.removed
         }
+        if (events.size < changes.events.size) {
+            log.info(
+                "feed-events-dropped",
+                "kind" to kind,
+                "count" to changes.events.size - events.size,
+                "revision" to changes.revision,
+                "known" to changedRevision,
+                "era" to store.era,
+            )
+        }
         if (events.isNotEmpty()) {
             for (event in events) {
                 if (event.removed) objects.remove(event.changed.name) else objects[event.changed.name] = event.changed
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/InMemoryStore.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/InMemoryStore.kt
@@ -34,6 +34,16 @@
     @Volatile
     var areWatchesStalled = false
 
+    @Volatile
+    override var era = 0L
+        private set
+
+    /** Content of the store at one time, for [restore]. */
+    class Copy internal constructor(
+        internal val objects: Map<Pair<StoreKind, String>, StoreObject>,
+        internal val revision: Long,
+    )
+
     /** Number of calls except stale listings. */
     @Volatile
     var calls = 0
@@ -48,6 +58,18 @@
         oldestRevision = revision
     }
 
+    /** Returns a copy of the present content. */
+    fun copy(): Copy = synchronized(lock) { Copy(HashMap(objects), revision) }
+
+    /** Replaces the content by [copy]: later changes are lost, and their revisions are assigned again. */
+    fun restore(copy: Copy) = synchronized(lock) {
+        objects.clear()
+        objects.putAll(copy.objects)
+        history.removeIf { it.event.changed.revision > copy.revision }
+        revision = copy.revision
+        era++
+    }
+
     override suspend fun list(kind: StoreKind, staleAllowed: Boolean): StoreResult<StoreListing> {
         if (!staleAllowed) calls++
         if (isDown) return StoreResult.Refused(503)
@@ -88,7 +110,8 @@
         return StoreResult.Success(Unit)
     }
 
-    private fun isForgotten(revision: Long): Boolean = synchronized(lock) { revision < oldestRevision }
+    private fun isForgotten(revision: Long): Boolean =
+        synchronized(lock) { revision < oldestRevision || revision > this.revision }
 
     private fun eventsAfter(kind: StoreKind, revision: Long): List<StoreEvent> = synchronized(lock) {
         history.filter { it.kind == kind && it.event.changed.revision > revision }.map { it.event }
