Order what the store says by its era, and across eras by the content

Cause: revisions order the changes of one history of the store, and were compared across its restore from an older copy.

Change: a revision is era and number (Store-Era); a feed that sees another era lists again; the first watch after a failed call returns at once; responses of an earlier era count as no answer. Across eras the content decides (KnownObjects): the version of a config, the start and count of a target; what left in the lost seconds does not return, a drain holds, a lost evacuation holds for 5 s. Announcements carry eras and the version of the config, so that a VM that starts while the store shows an older config takes the newer one from a peer; registrations are written again.

Why it works: no comparison of revisions crosses an era any more, and each way to learn of a new era (own watch, another call of the VM, a peer) ends in a new listing.

--- a/core/src/main/kotlin/org/anvilshed/core/fleet/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/fleet/TargetDirectory.kt
@@ -3,20 +3,22 @@
 import org.anvilshed.core.MonotonicTime
 import org.anvilshed.core.ZoneName
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.ZERO
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
  * Targets that are registered in the store, and the zones that are evacuated, as this VM last received them.
  *
- * Entries that disappeared while the store was unreachable are kept for [LAPSE_GRACE] after the store is reachable
- * again: their targets may be alive and register again. An entry that disappeared while the store was reachable is
- * dropped at once. Not thread-safe.
+ * Entries that disappeared while the store was unreachable or restored from an older copy are kept for [LAPSE_GRACE]
+ * after that: their targets may be alive and register again. An entry that disappeared otherwise is dropped at once.
+ * Not thread-safe.
  */
 public class TargetDirectory {
     private val registered = HashMap<String, RegisteredTarget>()
     private val lapsing = HashMap<String, LapsingTarget>()
     private var evacuated: Set<ZoneName> = emptySet()
+    private val lostEvacuationsUntil = HashMap<ZoneName, MonotonicTime>()
     private val coldZonesUntil = HashMap<ZoneName, MonotonicTime>()
 
     /** Targets that may get requests unless they are draining, including those whose registrations may have lapsed. */
@@ -25,18 +27,18 @@
 
     /** Zones whose targets must get no requests. */
     public val evacuatedZones: Set<ZoneName>
-        get() = evacuated
+        get() = evacuated + lostEvacuationsUntil.keys
 
     /**
      * Replaces all entries at [now] by a listing of the store.
      *
-     * @param storeWasUnreachable whether the store was unreachable before this listing, so that registrations may have
-     *   expired although their targets are alive.
+     * @param mayHaveExpired whether the store was unreachable or restored before this listing, so that registrations
+     *   may be missing although their targets are alive.
      */
-    public fun replaceAll(entries: List<RegisteredTarget>, storeWasUnreachable: Boolean, now: MonotonicTime) {
+    public fun replaceAll(entries: List<RegisteredTarget>, mayHaveExpired: Boolean, now: MonotonicTime) {
         val listed = entries.associateBy { it.key.name }
         for (target in registered.values.filter { it.key.name !in listed }) {
-            if (storeWasUnreachable && !target.draining) {
+            if (mayHaveExpired && !target.draining) {
                 lapsing[target.key.name] = LapsingTarget(target, now + LAPSE_GRACE)
             }
         }
@@ -54,37 +56,55 @@
     /**
      * Removes the entry [name], which was removed from the store, at [now].
      *
-     * @param storeWasUnreachable whether the store became reachable less than [LAPSE_GRACE] ago, so that the
+     * @param mayHaveExpired whether the store became reachable less than [LAPSE_GRACE] ago, so that the
      *   registration may have expired although its target is alive.
      */
-    public fun remove(name: String, storeWasUnreachable: Boolean, now: MonotonicTime) {
+    public fun remove(name: String, mayHaveExpired: Boolean, now: MonotonicTime) {
         val target = registered.remove(name) ?: return
-        if (storeWasUnreachable && !target.draining) lapsing[name] = LapsingTarget(target, now + LAPSE_GRACE)
+        if (mayHaveExpired && !target.draining) lapsing[name] = LapsingTarget(target, now + LAPSE_GRACE)
     }
 
     /**
      * Replaces the set of evacuated zones at [now].
      *
      * The targets of a zone that is no longer evacuated count as cold for [coldDuration].
+     *
+     * @param mayBeLost whether the store was restored from an older copy, so that evacuations may be missing until the
+     *   operator writes them again; they remain for [LOST_EVACUATION_GRACE].
      */
-    public fun replaceEvacuations(zones: Set<ZoneName>, coldDuration: Duration, now: MonotonicTime) {
-        for (zone in evacuated - zones) coldZonesUntil[zone] = now + coldDuration
+    public fun replaceEvacuations(
+        zones: Set<ZoneName>,
+        coldDuration: Duration,
+        mayBeLost: Boolean,
+        now: MonotonicTime,
+    ) {
+        for (zone in evacuated - zones) {
+            val until = now + if (mayBeLost) LOST_EVACUATION_GRACE else ZERO
+            if (mayBeLost) lostEvacuationsUntil[zone] = until
+            coldZonesUntil[zone] = until + coldDuration
+        }
+        lostEvacuationsUntil.keys.removeAll(zones)
         evacuated = zones
     }
 
     /** Returns when targets of [zone] no longer count as cold after an evacuation, or `null` if there was none. */
     public fun coldUntilOrNull(zone: ZoneName): MonotonicTime? = coldZonesUntil[zone]
 
-    /** Drops entries that lapsed and were not registered again by [now]; returns their names. */
+    /** Drops entries and evacuations that were not written again by [now]; returns their names. */
     public fun expire(now: MonotonicTime): List<String> {
+        val endedEvacuations = lostEvacuationsUntil.filterValues { it <= now }.keys.toList()
+        lostEvacuationsUntil.keys.removeAll(endedEvacuations.toSet())
         val ended = lapsing.filterValues { it.until <= now }.keys.toList()
         lapsing.keys.removeAll(ended.toSet())
-        return ended
+        return ended + endedEvacuations.map { it.value }
     }
 
     private class LapsingTarget(val target: RegisteredTarget, val until: MonotonicTime)
 
     public companion object {
+        /** An operator writes lost evacuations again within about the time that an evacuation may take. */
+        public val LOST_EVACUATION_GRACE: Duration = 5.seconds
+
         /**
          * Live targets register again within 2 s after the store is reachable again; the rest is the time that the
          * event takes to arrive.
--- a/core/src/test/kotlin/org/anvilshed/core/fleet/TargetDirectoryTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/fleet/TargetDirectoryTest.kt
@@ -25,17 +25,17 @@
 
         test("an entry removed while the store is reachable is dropped at once, so its target gets no more requests") {
             val directory = TargetDirectory()
-            directory.replaceAll(listOf(target("a"), target("b")), storeWasUnreachable = false, start)
-            directory.remove("a", storeWasUnreachable = false, start)
+            directory.replaceAll(listOf(target("a"), target("b")), mayHaveExpired = false, start)
+            directory.remove("a", mayHaveExpired = false, start)
             directory.targets.map { it.key.name } shouldContainExactly listOf("b")
-            directory.replaceAll(emptyList(), storeWasUnreachable = false, start)
+            directory.replaceAll(emptyList(), mayHaveExpired = false, start)
             directory.targets.size shouldBe 0
         }
 
         test("entries that lapsed while the store was unreachable are kept until their targets had time to register") {
             val directory = TargetDirectory()
-            directory.replaceAll(listOf(target("a"), target("b"), target("c")), storeWasUnreachable = false, start)
-            directory.replaceAll(listOf(target("c")), storeWasUnreachable = true, start)
+            directory.replaceAll(listOf(target("a"), target("b"), target("c")), mayHaveExpired = false, start)
+            directory.replaceAll(listOf(target("c")), mayHaveExpired = true, start)
             directory.targets.size shouldBe 3
             directory.put(target("a"))
             directory.expire(start + 2.seconds) shouldBe emptyList()
@@ -45,17 +45,17 @@
 
         test("the entry of a draining target that disappears while the store is unreachable is dropped at once") {
             val directory = TargetDirectory()
-            directory.replaceAll(listOf(target("a", draining = true)), storeWasUnreachable = false, start)
-            directory.replaceAll(emptyList(), storeWasUnreachable = true, start)
+            directory.replaceAll(listOf(target("a", draining = true)), mayHaveExpired = false, start)
+            directory.replaceAll(emptyList(), mayHaveExpired = true, start)
             directory.targets.size shouldBe 0
         }
 
         test("targets of a zone that is no longer evacuated count as cold for a while") {
             val directory = TargetDirectory()
             val zone = ZoneName("zone")
-            directory.replaceEvacuations(setOf(zone), 3.seconds, start)
+            directory.replaceEvacuations(setOf(zone), 3.seconds, mayBeLost = false, start)
             directory.coldUntilOrNull(zone) shouldBe null
-            directory.replaceEvacuations(emptySet(), 3.seconds, start + 1.seconds)
+            directory.replaceEvacuations(emptySet(), 3.seconds, mayBeLost = false, start + 1.seconds)
             directory.coldUntilOrNull(zone) shouldBe start + 4.seconds
         }
     })
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/FleetFeeds.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/FleetFeeds.kt
@@ -5,23 +5,29 @@
 import org.anvilshed.core.fleet.RegisteredTarget
 import org.anvilshed.core.fleet.TargetDirectory
 import org.anvilshed.core.ingress.IngressConfig
+import org.anvilshed.gateway.peers.AnnouncedStore
+import org.anvilshed.gateway.store.ContentVersion
 import org.anvilshed.gateway.store.ObjectStore
+import org.anvilshed.gateway.store.StoreContinuity
 import org.anvilshed.gateway.store.StoreEvent
 import org.anvilshed.gateway.store.StoreFeed
 import org.anvilshed.gateway.store.StoreFeedListener
 import org.anvilshed.gateway.store.StoreKind
 import org.anvilshed.gateway.store.StoreObject
+import org.anvilshed.gateway.store.StoreRevision
 import kotlin.time.Duration.Companion.seconds
 
 /**
  * Decoders of store objects; each returns `null` for an object that it can't decode.
  *
  * @property target second argument is the present time, to which the remaining cold time of a target is relative.
+ * @property contentVersion version of an object of a kind by its content, or `null` if the content does not state it.
  */
 public class StoreDecoders(
     public val config: (StoreObject) -> IngressConfig?,
     public val target: (StoreObject, MonotonicTime) -> RegisteredTarget?,
     public val evacuatedZone: (StoreObject) -> ZoneName?,
+    public val contentVersion: (StoreKind, StoreObject) -> ContentVersion?,
 )
 
 /**
@@ -45,20 +51,27 @@
         StoreKind.CONFIG to ConfigListener(),
         StoreKind.TARGETS to TargetListener(),
         StoreKind.EVACUATIONS to EvacuationListener(),
-    ).mapValues { (kind, listener) -> StoreFeed(kind, store, listener, log, clock) }
+    ).mapValues { (kind, listener) ->
+        StoreFeed(kind, store, listener, { decoders.contentVersion(kind, it) }, log, clock)
+    }
 
     /** Whether all targets were received at least once. */
     val haveTargetsListing: Boolean
         get() = byKind.getValue(StoreKind.TARGETS).hasListing
 
-    /** Returns the store revision of the last known change of each kind, in the order of [StoreKind]; -1 if unknown. */
-    fun revisions(): List<Long> = StoreKind.entries.map { byKind[it]?.changedRevision ?: -1 }
+    /** Returns what is known of the store, for announcements to other VMs. */
+    fun announced(): AnnouncedStore = AnnouncedStore(
+        revisions = StoreKind.entries.map { byKind[it]?.changedRevision ?: StoreRevision.NONE },
+        configVersion = state.currentOrNull?.config?.version ?: AnnouncedStore.NO_CONFIG,
+    )
+
+    /** Lists the objects of all kinds again if the store was found to be restored from an older copy. */
+    fun checkEra(): Unit = byKind.values.forEach { it.checkEra() }
 
     private inner class ConfigListener : StoreFeedListener {
-        override fun listed(objects: List<StoreObject>, storeWasUnreachable: Boolean): Unit =
-            objects.forEach(::activate)
+        override fun listed(objects: List<StoreObject>, continuity: StoreContinuity): Unit = objects.forEach(::activate)
 
-        override fun changed(events: List<StoreEvent>, storeWasUnreachable: Boolean): Unit =
+        override fun changed(events: List<StoreEvent>, continuity: StoreContinuity): Unit =
             events.filterNot { it.removed }.forEach { activate(it.changed) }
 
         private fun activate(stored: StoreObject) {
@@ -75,19 +88,25 @@
     }
 
     private inner class TargetListener : StoreFeedListener {
-        override fun listed(objects: List<StoreObject>, storeWasUnreachable: Boolean) {
+        override fun listed(objects: List<StoreObject>, continuity: StoreContinuity) {
             val now = clock()
-            directory.replaceAll(objects.mapNotNull { readOrNull(it, now) }, storeWasUnreachable, now)
-            log.info("targets-listed", "count" to objects.size, "store_was_away" to storeWasUnreachable)
+            val mayHaveExpired = continuity != StoreContinuity.CONTINUOUS
+            directory.replaceAll(objects.mapNotNull { readOrNull(it, now) }, mayHaveExpired, now)
+            log.info(
+                "targets-listed",
+                "count" to objects.size,
+                "store_was_away" to mayHaveExpired,
+                "store" to continuity,
+            )
             onTargetsChanged()
         }
 
-        override fun changed(events: List<StoreEvent>, storeWasUnreachable: Boolean) {
+        override fun changed(events: List<StoreEvent>, continuity: StoreContinuity) {
             val now = clock()
             for (event in events) {
                 val target = if (event.removed) null else readOrNull(event.changed, now)
                 if (target == null) {
-                    directory.remove(event.changed.name, storeWasUnreachable, now)
+                    directory.remove(event.changed.name, continuity != StoreContinuity.CONTINUOUS, now)
                 } else {
                     directory.put(target)
                 }
@@ -113,26 +132,26 @@
     private inner class EvacuationListener : StoreFeedListener {
         private val zones = HashMap<String, ZoneName>()
 
-        override fun listed(objects: List<StoreObject>, storeWasUnreachable: Boolean) {
+        override fun listed(objects: List<StoreObject>, continuity: StoreContinuity) {
             zones.clear()
             objects.forEach(::read)
-            apply()
+            apply(mayBeLost = continuity == StoreContinuity.RESTORED)
         }
 
-        override fun changed(events: List<StoreEvent>, storeWasUnreachable: Boolean) {
+        override fun changed(events: List<StoreEvent>, continuity: StoreContinuity) {
             for (event in events) if (event.removed) zones.remove(event.changed.name) else read(event.changed)
-            apply()
+            apply(mayBeLost = false)
         }
 
         private fun read(stored: StoreObject) {
             decoders.evacuatedZone(stored)?.let { zones[stored.name] = it }
         }
 
-        private fun apply() {
+        private fun apply(mayBeLost: Boolean) {
             val services = state.currentOrNull?.config?.services?.values.orEmpty()
             val coldDuration = services.maxOfOrNull { it.coldDuration } ?: DEFAULT_COLD_DURATION
-            directory.replaceEvacuations(zones.values.toSet(), coldDuration, clock())
-            log.info("evacuations", "zones" to zones.values)
+            directory.replaceEvacuations(zones.values.toSet(), coldDuration, mayBeLost, clock())
+            log.info("evacuations", "zones" to zones.values, "kept" to directory.evacuatedZones - zones.values.toSet())
             onTargetsChanged()
         }
     }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -123,7 +123,8 @@
         )
     private val announcements =
         AnnouncementExchange({ this.settings }, entryVms, System.currentTimeMillis(), log, socket::send)
-    private val catchUp = FeedCatchUp(scope, feeds.byKind, snapshots, log)
+    private val catchUp =
+        FeedCatchUp(scope, feeds.byKind, snapshots, { feeds.announced().configVersion }, log)
     private val registration = EntryVmRegistration(settings, store, entryVms, announcements, log)
 
     /** Whether callers may be sent to this VM: a config and targets were received, and the VM is not shutting down. */
@@ -223,6 +224,7 @@
     }
 
     private fun slowTick(now: MonotonicTime) {
+        feeds.checkEra()
         val ended = directory.expire(now)
         if (ended.isNotEmpty()) {
             log.info("targets-ended", "names" to ended)
@@ -239,11 +241,11 @@
     }
 
     private fun announce(now: MonotonicTime) =
-        announcements.announce(isReady, feeds.revisions(), announcedLoad(now), now)
+        announcements.announce(isReady, feeds.announced(), announcedLoad(now), now)
 
     private fun announceNow() {
         val now = clock()
-        announcements.announceNow(isReady, feeds.revisions(), announcedLoad(now), now)
+        announcements.announceNow(isReady, feeds.announced(), announcedLoad(now), now)
     }
 
     private fun announcedLoad(now: MonotonicTime) = AnnouncedLoad(occupiedSlots()) {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/Announcement.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/Announcement.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import org.anvilshed.gateway.store.StoreKind
+import org.anvilshed.gateway.store.StoreRevision
 
 /**
  * State that an entry VM announces to the others several times a second, as one datagram.
@@ -22,6 +23,8 @@
  * @property revisions store revision of the last change that this VM knows, by [StoreKind.ordinal].
  * @property occupiedSlots slots that this VM's requests in flight occupy, times [SLOT_UNITS], by [targetHash].
  * @property peers hosts of a few VMs whose announcements this VM received recently.
+ * @property eras era of the store for each of [revisions]; absent from older builds and if unknown.
+ * @property configVersion version of the config in force; absent from older builds and if there is none.
  * @property rates what this VM knows about targets that state a rate limit; absent from older builds.
  */
 @OptIn(ExperimentalSerializationApi::class)
@@ -38,7 +41,16 @@
     @CborLabel(8) public val occupiedSlots: Map<Int, Int>,
     @CborLabel(9) public val peers: List<String>,
     @CborLabel(10) public val rates: List<AnnouncedRate> = emptyList(),
+    @CborLabel(11) public val eras: List<Long> = emptyList(),
+    @CborLabel(12) public val configVersion: Long = AnnouncedStore.NO_CONFIG,
 ) {
+    /** What this VM knows of the store. */
+    public val store: AnnouncedStore
+        get() = AnnouncedStore(
+            revisions.mapIndexed { index, number -> StoreRevision(eras.getOrElse(index) { 0 }, number) },
+            configVersion,
+        )
+
     /** Returns this announcement as the bytes of a datagram. */
     public fun encode(): ByteArray = format.encodeToByteArray(this)
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/AnnouncementExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/AnnouncementExchange.kt
@@ -43,7 +43,7 @@
     private val candidateHosts = HashSet<String>()
 
     /** Sends the announcement to the VMs for which it is due at [now]. */
-    fun announce(acceptsCallers: Boolean, revisions: List<Long>, load: AnnouncedLoad, now: MonotonicTime) {
+    fun announce(acceptsCallers: Boolean, store: AnnouncedStore, load: AnnouncedLoad, now: MonotonicTime) {
         val occupiedSlots = load.occupiedSlots
         val inRegionPeriod = if (occupiedSlots == announcedSlots) IDLE_IN_REGION_PERIOD else IN_REGION_PERIOD
         val isInRegionDue = now - sentInRegionAt >= inRegionPeriod
@@ -66,15 +66,15 @@
         if (isBetweenRegionsDue) sentBetweenRegionsAt = now
         announcedSlots = occupiedSlots
         if (hosts.isEmpty()) return
-        val datagram = announcement(acceptsCallers, revisions, load, live).encode()
+        val datagram = announcement(acceptsCallers, store, load, live).encode()
         for (host in hosts) send(datagram, host)
     }
 
     /** Sends the announcement to all live VMs immediately, for urgent changes. */
-    fun announceNow(acceptsCallers: Boolean, revisions: List<Long>, load: AnnouncedLoad, now: MonotonicTime) {
+    fun announceNow(acceptsCallers: Boolean, store: AnnouncedStore, load: AnnouncedLoad, now: MonotonicTime) {
         sentInRegionAt = MonotonicTime(Long.MIN_VALUE / 2)
         sentBetweenRegionsAt = sentInRegionAt
-        announce(acceptsCallers, revisions, load, now)
+        announce(acceptsCallers, store, load, now)
     }
 
     /** Applies an announcement of another VM that arrived at [now]; returns what it changed. */
@@ -97,7 +97,7 @@
         addresses.forEach { if (candidateHosts.size < CANDIDATE_LIMIT) candidateHosts.add(it.host) }
     }
 
-    private fun announcement(acceptsCallers: Boolean, revisions: List<Long>, load: AnnouncedLoad, live: List<PeerVm>) =
+    private fun announcement(acceptsCallers: Boolean, store: AnnouncedStore, load: AnnouncedLoad, live: List<PeerVm>) =
         Announcement(
             name = settings.name.value,
             startedAtMillis = startedAtMillis,
@@ -106,7 +106,9 @@
             control = settings.listen.control.toString(),
             acceptsCallers = acceptsCallers,
             sequence = ++sequence,
-            revisions = revisions,
+            revisions = store.revisions.map { it.number },
+            eras = store.eras,
+            configVersion = store.configVersion,
             occupiedSlots = load.occupiedSlots,
             rates = load.rates(),
             peers = live.map { it.control.host }.shuffled().take(ANNOUNCED_PEERS),
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/EntryVmRegistration.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/EntryVmRegistration.kt
@@ -23,7 +23,8 @@
     private val announcements: AnnouncementExchange,
     private val log: DecisionLog,
 ) {
-    private var isRegistered = false
+    /** Era of the store that has the registration; `null` if none has it. */
+    private var registeredEra: Long? = null
     private var isWithdrawn = false
 
     /** Registers this VM, with retries, and reads the registrations until cancelled. */
@@ -31,13 +32,14 @@
         val content = JsonObject().put("control", settings.listen.control.toString())
             .put("zone", settings.placement.zone.value)
         while (true) {
-            if (!isRegistered && !isWithdrawn) {
+            // A restored store may lack the registration.
+            if (registeredEra != store.era && !isWithdrawn) {
                 val result = store.put(StoreKind.ENTRY_VMS, settings.name.value, content)
-                isRegistered = result is StoreResult.Success
-                if (!isRegistered) log.info("registration-failed", "result" to result)
+                registeredEra = (result as? StoreResult.Success)?.value
+                if (registeredEra == null) log.info("registration-failed", "result" to result)
             }
             readRegistrations()
-            delay(if (isRegistered) READ_PERIOD else RETRY_PERIOD)
+            delay(if (registeredEra != null) READ_PERIOD else RETRY_PERIOD)
         }
     }
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerSnapshots.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerSnapshots.kt
@@ -18,6 +18,7 @@
 import org.anvilshed.gateway.store.StoreKind
 import org.anvilshed.gateway.store.StoreListing
 import org.anvilshed.gateway.store.StoreObject
+import org.anvilshed.gateway.store.StoreRevision
 import java.io.IOException
 import kotlin.time.Duration.Companion.seconds
 
@@ -63,18 +64,24 @@
     private fun encode(listing: StoreListing): Buffer {
         val objects = JsonArray()
         for (item in listing.objects) {
-            objects.add(JsonObject().put("name", item.name).put("revision", item.revision).put("content", item.content))
+            objects.add(encode(item.revision).put("name", item.name).put("content", item.content))
         }
-        return JsonObject().put("revision", listing.revision).put("objects", objects).toBuffer()
+        return encode(listing.revision).put("objects", objects).toBuffer()
     }
 
+    private fun encode(revision: StoreRevision): JsonObject =
+        JsonObject().put("revision", revision.number).put("era", revision.era)
+
+    /** Builds that know no eras send none. */
+    private fun decodeRevision(json: JsonObject) = StoreRevision(json.getLong("era", 0), json.getLong("revision"))
+
     private fun decode(body: Buffer): StoreListing {
         val json = body.toJsonObject()
         val objects = json.getJsonArray("objects").map { item ->
             val entry = item as JsonObject
-            StoreObject(entry.getString("name"), entry.getLong("revision"), entry.getJsonObject("content"))
+            StoreObject(entry.getString("name"), decodeRevision(entry), entry.getJsonObject("content"))
         }
-        return StoreListing(objects, json.getLong("revision"))
+        return StoreListing(objects, decodeRevision(json))
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/ObjectStore.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/ObjectStore.kt
@@ -24,7 +24,11 @@
  * @property revision store revision of its last change.
  * @property content JSON object that its writer stored, or `null` if the stored value is not a JSON object.
  */
-public data class StoreObject(public val name: String, public val revision: Long, public val content: JsonObject?)
+public data class StoreObject(
+    public val name: String,
+    public val revision: StoreRevision,
+    public val content: JsonObject?,
+)
 
 /**
  * Change of one object.
@@ -34,10 +38,10 @@
 public data class StoreEvent(public val changed: StoreObject, public val removed: Boolean)
 
 /** All objects of a kind, as of store revision [revision]. */
-public data class StoreListing(public val objects: List<StoreObject>, public val revision: Long)
+public data class StoreListing(public val objects: List<StoreObject>, public val revision: StoreRevision)
 
 /** Changes of the objects of a kind, up to store revision [revision]. */
-public data class StoreChanges(public val events: List<StoreEvent>, public val revision: Long)
+public data class StoreChanges(public val events: List<StoreEvent>, public val revision: StoreRevision)
 
 /** Outcome of a call to the store. */
 public sealed interface StoreResult<out T> {
@@ -72,20 +76,24 @@
 /** Store of versioned objects that all entry VMs share. */
 public interface ObjectStore {
     /**
-     * Number of times that the store was restored from an older copy, by its latest response; 0 if unknown.
+     * Number of times that the store was restored from an older copy, as far as its responses showed; 0 if unknown.
      *
-     * A restored store lacks its last changes and assigns their revisions again.
+     * All results are of this era: responses from before a restore that arrive after it count as no answer.
      */
     public val era: Long
 
     /** Lists all objects of [kind]; with [staleAllowed] the listing may be several seconds old and is charged less. */
     public suspend fun list(kind: StoreKind, staleAllowed: Boolean = false): StoreResult<StoreListing>
 
-    /** Waits up to [wait] for changes to objects of [kind] after [revision]; returns no events if there are none. */
-    public suspend fun watch(kind: StoreKind, revision: Long, wait: Duration): StoreResult<StoreChanges>
+    /**
+     * Waits up to [wait] for changes to objects of [kind] after [revision]; returns no events if there are none.
+     *
+     * The era of [revision] is not checked: if the result is of another era, changes may be missing.
+     */
+    public suspend fun watch(kind: StoreKind, revision: StoreRevision, wait: Duration): StoreResult<StoreChanges>
 
-    /** Creates the object [name], or replaces its content regardless of its revision. */
-    public suspend fun put(kind: StoreKind, name: String, content: JsonObject): StoreResult<Unit>
+    /** Creates the object [name], or replaces its content regardless of its revision; returns the era of the store. */
+    public suspend fun put(kind: StoreKind, name: String, content: JsonObject): StoreResult<Long>
 
     /** Removes the object [name]; succeeds if there is no such object. */
     public suspend fun delete(kind: StoreKind, name: String): StoreResult<Unit>
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
@@ -12,55 +12,76 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/**
- * Receiver of the objects of a [StoreFeed] and of their changes.
- *
- * If `storeWasUnreachable` is `true`, entries may have expired only because their owners could not renew them.
- */
+/** Receiver of the objects of a [StoreFeed] and of their changes. */
 public interface StoreFeedListener {
     /** Called with all [objects] of the kind, which replace those received earlier. */
-    public fun listed(objects: List<StoreObject>, storeWasUnreachable: Boolean)
+    public fun listed(objects: List<StoreObject>, continuity: StoreContinuity)
 
     /** Called with changes in the order in which they were made. */
-    public fun changed(events: List<StoreEvent>, storeWasUnreachable: Boolean)
+    public fun changed(events: List<StoreEvent>, continuity: StoreContinuity)
 }
 
 /**
  * Copy of all objects of one kind, kept up to date by a watch on the store.
  *
- * While the watch delivers nothing, [adopt] accepts newer copies of other entry VMs. Confined to the thread of the
- * coroutine that calls [run].
+ * While the watch delivers nothing, [adopt] accepts newer copies of other entry VMs. When the store was restored from
+ * an older copy, all objects are listed again, and known content that is newer than the store's stays in the copy.
+ * Confined to the thread of the coroutine that calls [run].
+ *
+ * @param versionOf returns the version of a content, or `null` if the content does not state it.
  */
 public class StoreFeed(
     public val kind: StoreKind,
     private val store: ObjectStore,
     private val listener: StoreFeedListener,
+    versionOf: (StoreObject) -> ContentVersion?,
     private val log: DecisionLog,
     private val clock: MonotonicClock,
 ) {
-    private val objects = LinkedHashMap<String, StoreObject>()
-    private var watchRevision = NO_REVISION
+    // A config stays in force until a newer one is known; the listener decides whether a lost target still exists.
+    private val objects = KnownObjects(keepsLost = kind == StoreKind.CONFIG, versionOf)
+    private var watchRevision = StoreRevision.NONE
     private var watchJob: Job? = null
     private var unreachableSince: MonotonicTime? = null
-    private var reachableAgainAt: MonotonicTime? = null
 
-    /** Store revision of the latest change that is known; -1 before the first listing. */
-    public var changedRevision: Long = NO_REVISION
+    /** When the store was reachable again, or found to be restored. */
+    private var interruptedUntil: MonotonicTime? = null
+
+    /** Whether a call has failed since the last watch, so that the store may have been restored unnoticed. */
+    private var mustVerifyEra = false
+
+    /** Store revision of the latest change that is known; [StoreRevision.NONE] before the first listing. */
+    public var changedRevision: StoreRevision = StoreRevision.NONE
         private set
 
     /** Whether all objects were received at least once, from the store or from a peer. */
     public val hasListing: Boolean
-        get() = changedRevision != NO_REVISION
+        get() = changedRevision != StoreRevision.NONE
 
     /** Returns the objects as last received. */
     public fun snapshot(): StoreListing = StoreListing(objects.values.toList(), changedRevision)
 
-    /** Replaces the objects by a peer's [listing] if it is newer, and continues the watch from its revision. */
+    /**
+     * Replaces the objects by a peer's [listing] if it is newer, and continues the watch from its revision. Of a
+     * listing that is not newer, only configs of higher versions are taken.
+     */
     public fun adopt(listing: StoreListing) {
-        if (listing.revision <= changedRevision) return
-        log.info("feed-adopted", "kind" to kind, "from" to changedRevision, "to" to listing.revision)
-        // The peer may have listed while entries were expired, so a missing entry does not prove that its owner ended.
-        applyListing(listing, storeWasUnreachable = unreachableSince != null || wasUnreachableRecently())
+        if (listing.revision > changedRevision) {
+            log.info("feed-adopted", "kind" to kind, "from" to changedRevision, "to" to listing.revision)
+            applyListing(listing)
+            watchJob?.cancel()
+        } else if (kind == StoreKind.CONFIG) {
+            val newer = listing.objects.filter(objects::takeNewerContent)
+            if (newer.isEmpty()) return
+            log.info("feed-content-adopted", "kind" to kind, "names" to newer.map { it.name })
+            listener.changed(newer.map { StoreEvent(it, removed = false) }, StoreContinuity.CONTINUOUS)
+        }
+    }
+
+    /** Lists all objects again if another call has shown that the store was restored since the last listing. */
+    public fun checkEra() {
+        if (watchRevision == StoreRevision.NONE || watchRevision.era >= store.era) return
+        listAgainAfterRestore(store.era)
         watchJob?.cancel()
     }
 
@@ -77,7 +98,7 @@
     private suspend fun listAndWatch() {
         var backoff = INITIAL_BACKOFF
         while (true) {
-            val result = if (watchRevision == NO_REVISION) list() else watch()
+            val result = if (watchRevision == StoreRevision.NONE) list() else watch()
             when (result) {
                 is StoreResult.Success -> {
                     recordSuccess()
@@ -86,7 +107,7 @@
 
                 StoreResult.HistoryGone -> {
                     log.info("feed-history-gone", "kind" to kind, "revision" to watchRevision)
-                    watchRevision = NO_REVISION
+                    watchRevision = StoreRevision.NONE
                 }
 
                 is StoreResult.Conflict, is StoreResult.Refused, is StoreResult.NoAnswer -> {
@@ -108,25 +129,26 @@
             "objects" to listing.objects.size,
             "revision" to listing.revision,
             "known" to changedRevision,
-            "era" to store.era,
         )
         // A listing that is older than an adopted copy of a peer would revert changes that are in effect.
-        if (listing.revision >= changedRevision) applyListing(listing, wasUnreachableRecently())
+        if (listing.revision >= changedRevision) applyListing(listing)
         watchRevision = maxOf(listing.revision, watchRevision)
         return StoreResult.Success(Unit)
     }
 
     private suspend fun watch(): StoreResult<Unit> {
-        val result = store.watch(kind, watchRevision, WATCH_WAIT)
+        // A restored store may know the revision as that of another change, and would let the watch wait.
+        val wait = if (mustVerifyEra) SHORT_WATCH_WAIT else WATCH_WAIT
+        val result = store.watch(kind, watchRevision, wait)
         if (result !is StoreResult.Success) return result.withoutValue()
+        mustVerifyEra = false
         val changes = result.value
-        if (changes.revision < watchRevision) {
-            log.info("feed-went-back", "kind" to kind, "from" to watchRevision, "to" to changes.revision)
-        }
-        val events = changes.events.filter {
-            it.changed.revision > (objects[it.changed.name]?.revision ?: 0) ||
-                it.removed
+        if (changes.revision.era != watchRevision.era) {
+            listAgainAfterRestore(changes.revision.era)
+            return StoreResult.Success(Unit)
         }
+        val now = clock()
+        val events = changes.events.filter { objects.apply(it, now) }
         if (events.size < changes.events.size) {
             log.info(
                 "feed-events-dropped",
@@ -134,15 +156,11 @@
                 "count" to changes.events.size - events.size,
                 "revision" to changes.revision,
                 "known" to changedRevision,
-                "era" to store.era,
             )
         }
         if (events.isNotEmpty()) {
-            for (event in events) {
-                if (event.removed) objects.remove(event.changed.name) else objects[event.changed.name] = event.changed
-            }
             changedRevision = maxOf(changedRevision, changes.revision)
-            listener.changed(events, wasUnreachableRecently())
+            listener.changed(events, continuity())
         }
         watchRevision = maxOf(watchRevision, changes.revision)
         // Changes come in bursts, and each watch response is charged: the pause batches changes that follow shortly.
@@ -150,20 +168,31 @@
         return StoreResult.Success(Unit)
     }
 
-    private fun applyListing(listing: StoreListing, storeWasUnreachable: Boolean) {
-        objects.clear()
-        listing.objects.associateByTo(objects) { it.name }
+    private fun listAgainAfterRestore(era: Long) {
+        log.info("store-restored", "kind" to kind, "from" to watchRevision, "era" to era)
+        watchRevision = StoreRevision.NONE
+    }
+
+    private fun applyListing(listing: StoreListing) {
+        val isRestored = hasListing && listing.revision.era > changedRevision.era
+        val now = clock()
+        if (isRestored) interruptedUntil = now
+        objects.replaceAll(listing, now)
         changedRevision = listing.revision
         watchRevision = listing.revision
-        listener.listed(listing.objects, storeWasUnreachable)
+        listener.listed(objects.values.toList(), if (isRestored) StoreContinuity.RESTORED else continuity())
     }
 
-    private fun wasUnreachableRecently(): Boolean {
+    private fun continuity(): StoreContinuity =
+        if (wasInterruptedRecently()) StoreContinuity.INTERRUPTED else StoreContinuity.CONTINUOUS
+
+    private fun wasInterruptedRecently(): Boolean {
         if (unreachableSince != null) return true
-        return reachableAgainAt?.let { clock() - it < EXPIRY_WINDOW } ?: false
+        return interruptedUntil?.let { clock() - it < EXPIRY_WINDOW } ?: false
     }
 
     private fun recordFailure(result: StoreResult<*>) {
+        mustVerifyEra = true
         if (unreachableSince != null) return
         unreachableSince = clock()
         log.info("store-lost", "kind" to kind, "cause" to result.toString())
@@ -173,7 +202,7 @@
         val since = unreachableSince ?: return
         val now = clock()
         unreachableSince = null
-        reachableAgainAt = now
+        interruptedUntil = now
         log.info("store-regained", "kind" to kind, "away_ms" to (now - since).inWholeMilliseconds)
     }
 
@@ -186,11 +215,12 @@
     }
 
     private companion object {
-        const val NO_REVISION = -1L
-
         /** Each call is charged; a peer's newer revision reveals a stalled watch sooner than a shorter wait. */
         val WATCH_WAIT = 10.seconds
 
+        /** Returns at once; the shortest wait that the store accepts. */
+        val SHORT_WATCH_WAIT = 1.milliseconds
+
         /** A tenth of the shortest time within which a change must take effect. */
         val BATCH_DELAY = 250.milliseconds
         val INITIAL_BACKOFF = 50.milliseconds
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRestoredStoreTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRestoredStoreTest.kt
@@ -2,10 +2,13 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import io.vertx.core.json.JsonObject
+import org.anvilshed.gateway.store.StoreKind
 import org.anvilshed.gateway.testbed.GatewayTestbed
 import org.anvilshed.gateway.testbed.GatewayTestbed.Companion.await
 import org.anvilshed.gateway.testbed.InMemoryStore
 import org.anvilshed.gateway.testbed.ScriptedTarget
+import org.anvilshed.gateway.testbed.TEST_ZONE
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -76,4 +79,133 @@
                 await(CONFIG_BOUND) { testbed.call("/safe/").status == 503 }
             }
         }
+
+        test("a target that left in the lost seconds gets no requests although the restored store shows it again") {
+            GatewayTestbed().use { testbed ->
+                testbed.config(1)
+                testbed.target("target", target, sequence = 3)
+                val copy = testbed.store.copy()
+                testbed.awaitReady()
+                testbed.call("/safe/").status shouldBe 200
+                testbed.target("target", target, draining = true, sequence = 4)
+                testbed.store.remove(StoreKind.TARGETS, "target")
+                await { testbed.call("/safe/").status == 503 }
+                testbed.store.interrupt { testbed.store.restore(copy) }
+                val end = System.nanoTime() + 3.seconds.inWholeNanoseconds
+                while (System.nanoTime() < end) testbed.call("/safe/").status shouldBe 503
+                testbed.target("target", target, sequence = 5)
+                await(CONFIG_BOUND) { testbed.call("/safe/").status == 200 }
+            }
+        }
+
+        test("a target that joined in the lost seconds stays in use until it registers again") {
+            GatewayTestbed().use { testbed ->
+                testbed.config(1)
+                val copy = testbed.store.copy()
+                testbed.target("target", target, sequence = 3)
+                testbed.awaitReady()
+                testbed.store.interrupt { testbed.store.restore(copy) }
+                Thread.sleep(1_000)
+                testbed.call("/safe/").status shouldBe 200
+                testbed.target("target", target, sequence = 4)
+                val end = System.nanoTime() + 3.seconds.inWholeNanoseconds
+                while (System.nanoTime() < end) testbed.call("/safe/").status shouldBe 200
+            }
+        }
+
+        test("an evacuation that was lost holds until the operator has had time to write it again") {
+            GatewayTestbed().use { testbed ->
+                testbed.config(1)
+                testbed.target("target", target)
+                val copy = testbed.store.copy()
+                testbed.awaitReady()
+                testbed.store.set(StoreKind.EVACUATIONS, TEST_ZONE.value, JsonObject())
+                await { testbed.call("/safe/").status == 503 }
+                testbed.store.interrupt { testbed.store.restore(copy) }
+                Thread.sleep(2_000)
+                testbed.call("/safe/").status shouldBe 503
+                testbed.store.set(StoreKind.EVACUATIONS, TEST_ZONE.value, JsonObject())
+                Thread.sleep(5_000)
+                testbed.call("/safe/").status shouldBe 503
+                testbed.store.remove(StoreKind.EVACUATIONS, TEST_ZONE.value)
+                await { testbed.call("/safe/").status == 200 }
+            }
+        }
+
+        test("a VM registers itself again after its registration was lost") {
+            val store = InMemoryStore()
+            val copy = store.copy()
+            GatewayTestbed(store).use { testbed ->
+                testbed.config(1)
+                await { testbed.store.names(StoreKind.ENTRY_VMS) == setOf("vm-1") }
+                testbed.store.interrupt { testbed.store.restore(copy) }
+                testbed.store.names(StoreKind.ENTRY_VMS) shouldBe emptySet()
+                await { testbed.store.names(StoreKind.ENTRY_VMS) == setOf("vm-1") }
+            }
+        }
+
+        test("a VM that starts after the restore takes the newer config from a peer, not the older one of the store") {
+            val peerPort = GatewayTestbed.freePort()
+            GatewayTestbed(host = "127.0.0.31", peerPort = peerPort).use { first ->
+                first.config(1)
+                first.target("target", target)
+                val copy = first.store.copy()
+                first.config(2)
+                first.awaitReady()
+                await { first.call("/new/").status == 200 }
+                first.store.interrupt { first.store.restore(copy) }
+                Thread.sleep(NOTICE_MILLIS)
+                val seeds = listOf(first.settings.listen.control)
+                GatewayTestbed(first.store, "vm-2", seeds, "127.0.0.32", peerPort).use { second ->
+                    second.awaitReady()
+                    await(CONFIG_BOUND) { second.call("/new/").status == 200 }
+                    first.call("/new/").status shouldBe 200
+                }
+            }
+        }
+
+        // Guards against a higher revision of an earlier era that counts as newer, in both directions.
+        test("a VM that can't reach the restored store takes changes from a peer, and does not mislead it") {
+            val peerPort = GatewayTestbed.freePort()
+            val store = InMemoryStore()
+            val cutOff = InMemoryStore()
+            GatewayTestbed(store, host = "127.0.0.33", peerPort = peerPort).use { first ->
+                first.config(1)
+                first.target("target", target)
+                val copy = store.copy()
+                repeat(20) { first.config(1) }
+                first.awaitReady()
+                cutOff.isDown = true
+                val seeds = listOf(first.settings.listen.control)
+                GatewayTestbed(cutOff, "vm-2", seeds, "127.0.0.34", peerPort).use { second ->
+                    second.awaitReady()
+                    store.interrupt { store.restore(copy) }
+                    first.config(2)
+                    await(CONFIG_BOUND) { first.call("/new/").status == 200 }
+                    await { second.call("/new/").status == 200 }
+                    first.target("target", target, draining = true)
+                    await { first.call("/safe/").status == 503 && second.call("/safe/").status == 503 }
+                    Thread.sleep(1_000)
+                    first.call("/safe/").status shouldBe 503
+                }
+            }
+        }
+
+        test("changes are in force in time although the store was restored twice while it was away") {
+            GatewayTestbed().use { testbed ->
+                testbed.config(1)
+                testbed.target("target", target)
+                val copy = testbed.store.copy()
+                repeat(20) { testbed.config(1) }
+                testbed.awaitReady()
+                testbed.store.interrupt {
+                    testbed.store.restore(copy)
+                    repeat(30) { testbed.config(1) }
+                    testbed.store.restore(copy)
+                    repeat(25) { testbed.config(1) }
+                }
+                testbed.config(2)
+                await(CONFIG_BOUND) { testbed.call("/new/").status == 200 }
+            }
+        }
     })
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
@@ -29,6 +29,7 @@
 import org.anvilshed.gateway.ListenSettings
 import org.anvilshed.gateway.RequestHeaderNames
 import org.anvilshed.gateway.StoreDecoders
+import org.anvilshed.gateway.store.ContentVersion
 import org.anvilshed.gateway.store.StoreKind
 import org.anvilshed.gateway.systemClock
 import java.io.InputStream
@@ -70,6 +71,10 @@
         }
     },
     evacuatedZone = { ZoneName(it.name) },
+    contentVersion = { _, stored ->
+        val sequence = stored.content?.getLong("version") ?: stored.content?.getLong("sequence")
+        sequence?.let { ContentVersion(0, it) }
+    },
 )
 
 /** Config with an idempotent route `/safe/` and a non-idempotent route `/once/`; version 2 adds the route `/new/`. */
@@ -144,8 +149,11 @@
 
     fun config(version: Long) = store.set(StoreKind.CONFIG, "main", JsonObject().put("version", version))
 
-    fun target(name: String, target: ScriptedTarget, draining: Boolean = false) =
-        store.set(StoreKind.TARGETS, name, JsonObject().put("port", target.port).put("draining", draining))
+    /** Writes the entry of [target]; of two entries, the one with the higher [sequence] is the newer one. */
+    fun target(name: String, target: ScriptedTarget, draining: Boolean = false, sequence: Long? = null) {
+        val content = JsonObject().put("port", target.port).put("draining", draining).put("sequence", sequence)
+        store.set(StoreKind.TARGETS, name, content)
+    }
 
     /** Waits until the gateway is ready. */
     fun awaitReady() = await { onEventLoop { gateway.isReady } }
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/InMemoryStore.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/InMemoryStore.kt
@@ -11,6 +11,7 @@
 import org.anvilshed.gateway.store.StoreListing
 import org.anvilshed.gateway.store.StoreObject
 import org.anvilshed.gateway.store.StoreResult
+import org.anvilshed.gateway.store.StoreRevision
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -58,32 +59,43 @@
         oldestRevision = revision
     }
 
+    /** Returns the names of all objects of [kind]. */
+    fun names(kind: StoreKind): Set<String> =
+        synchronized(lock) { objects.keys.filter { it.first == kind }.mapTo(HashSet()) { it.second } }
+
     /** Returns a copy of the present content. */
     fun copy(): Copy = synchronized(lock) { Copy(HashMap(objects), revision) }
 
     /** Replaces the content by [copy]: later changes are lost, and their revisions are assigned again. */
     fun restore(copy: Copy) = synchronized(lock) {
-        objects.clear()
-        objects.putAll(copy.objects)
-        history.removeIf { it.event.changed.revision > copy.revision }
-        revision = copy.revision
         era++
+        revision = copy.revision
+        objects.clear()
+        for ((key, item) in copy.objects) objects[key] = item.copy(revision = item.revision.copy(era = era))
+        history.removeIf { it.event.changed.revision.number > copy.revision }
     }
 
     override suspend fun list(kind: StoreKind, staleAllowed: Boolean): StoreResult<StoreListing> {
         if (!staleAllowed) calls++
         if (isDown) return StoreResult.Refused(503)
         return synchronized(lock) {
-            StoreResult.Success(StoreListing(objects.filterKeys { it.first == kind }.values.toList(), revision))
+            StoreResult.Success(
+                StoreListing(
+                    objects.filterKeys {
+                        it.first == kind
+                    }.values.toList(),
+                    StoreRevision(era, revision),
+                ),
+            )
         }
     }
 
-    override suspend fun watch(kind: StoreKind, revision: Long, wait: Duration): StoreResult<StoreChanges> {
+    override suspend fun watch(kind: StoreKind, revision: StoreRevision, wait: Duration): StoreResult<StoreChanges> {
         calls++
         if (areWatchesStalled) delay(wait)
         if (isDown) return StoreResult.Refused(503)
         withTimeoutOrNull(wait) {
-            while (!isDown && eventsAfter(kind, revision).isEmpty() && !isForgotten(revision)) {
+            while (!isDown && eventsAfter(kind, revision.number).isEmpty() && !isForgotten(revision.number)) {
                 val change = CompletableDeferred<Unit>()
                 waiting.add(change)
                 withTimeoutOrNull(POLL) { change.await() }
@@ -92,15 +104,17 @@
         }
         if (areWatchesStalled) delay(wait)
         if (isDown) return StoreResult.Refused(503)
-        if (isForgotten(revision)) return StoreResult.HistoryGone
-        return synchronized(lock) { StoreResult.Success(StoreChanges(eventsAfter(kind, revision), this.revision)) }
+        if (isForgotten(revision.number)) return StoreResult.HistoryGone
+        return synchronized(lock) {
+            StoreResult.Success(StoreChanges(eventsAfter(kind, revision.number), StoreRevision(era, this.revision)))
+        }
     }
 
-    override suspend fun put(kind: StoreKind, name: String, content: JsonObject): StoreResult<Unit> {
+    override suspend fun put(kind: StoreKind, name: String, content: JsonObject): StoreResult<Long> {
         calls++
         if (isDown) return StoreResult.Refused(503)
         set(kind, name, content)
-        return StoreResult.Success(Unit)
+        return StoreResult.Success(era)
     }
 
     override suspend fun delete(kind: StoreKind, name: String): StoreResult<Unit> {
@@ -114,12 +128,12 @@
         synchronized(lock) { revision < oldestRevision || revision > this.revision }
 
     private fun eventsAfter(kind: StoreKind, revision: Long): List<StoreEvent> = synchronized(lock) {
-        history.filter { it.kind == kind && it.event.changed.revision > revision }.map { it.event }
+        history.filter { it.kind == kind && it.event.changed.revision.number > revision }.map { it.event }
     }
 
     private fun change(kind: StoreKind, name: String, content: JsonObject?, removed: Boolean) {
         synchronized(lock) {
-            val changed = StoreObject(name, ++revision, content)
+            val changed = StoreObject(name, StoreRevision(era, ++revision), content)
             if (removed) objects.remove(kind to name) else objects[kind to name] = changed
             history.add(Entry(kind, StoreEvent(changed, removed)))
         }
