Hear a VM that restarted after its clock was set back

Callers: such a VM was left out of lookups for its whole life, as the other VMs ignored its announcements.

Cause: KnownEntryVms ordered the processes of one VM by the time of day at their starts, which the clock of the machine orders only as long as it is not set.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/KnownEntryVms.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/KnownEntryVms.kt
@@ -49,7 +49,7 @@
         val peer = toPeerOrNull(announcement, now) ?: return PeerChange.IGNORED
         if (peer.name == self) return PeerChange.IGNORED
         val previous = peers[peer.name]
-        if (previous != null && !isNewer(announcement, previous.announcement)) return PeerChange.IGNORED
+        if (previous != null && !isNewer(peer, previous)) return PeerChange.IGNORED
         peers[peer.name] = peer
         return when {
             previous == null || now - previous.receivedAt >= SILENCE_LIMIT -> PeerChange.APPEARED
@@ -89,8 +89,13 @@
     public fun limitParticipants(now: MonotonicTime): List<String> =
         (registered + recentlyLive(now).map { it.name.value } + self.value).sorted()
 
-    private fun isNewer(announcement: Announcement, previous: Announcement): Boolean =
-        compareValuesBy(announcement, previous, { it.startedAtMillis }, { it.sequence }) > 0
+    private fun isNewer(peer: PeerVm, previous: PeerVm): Boolean {
+        val startedAt = peer.announcement.startedAtMillis
+        val previousStartedAt = previous.announcement.startedAtMillis
+        if (startedAt == previousStartedAt) return peer.announcement.sequence > previous.announcement.sequence
+        // The clock may have been set back between the two starts, so only silence shows that a process has ended.
+        return startedAt > previousStartedAt || peer.receivedAt - previous.receivedAt >= SILENCE_LIMIT
+    }
 
     private fun toPeerOrNull(announcement: Announcement, now: MonotonicTime): PeerVm? {
         if (!isValidName(announcement.name) || !isValidName(announcement.zone)) return null
