--- a/core/src/main/kotlin/org/anvilshed/core/placement/SharedRate.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/SharedRate.kt
@@ -16,15 +16,15 @@
  * Rate of requests that one target takes from all VMs together.
  *
  * A few VMs, chosen by rendezvous hashing, are the senders of the target and divide the rate among themselves. Each of
- * them sends at an even pace and can't save up requests for a burst. If all VMs choose the same senders, the target
- * gets at most [requestsPerSecond] and one more request of each sender in any span.
+ * them sends at an even pace and can't save up requests for a burst ([RateCredit]). If all VMs choose the same senders,
+ * the target gets at most [requestsPerSecond] and one and a half more requests of each sender in any span.
  */
 public data class SharedRate(public val requestsPerSecond: Double, public val tolerance: RateTolerance) {
-    /** Returns how many of [members] VMs may send so that one more request of each stays within the tolerance. */
+    /** Returns how many of [members] VMs may send so that their saved credit stays within the tolerance. */
     public fun senderCount(members: Int): Int {
         val windowSeconds = tolerance.window.toDouble(DurationUnit.SECONDS)
         val spare = requestsPerSecond * windowSeconds * (tolerance.overshoot - 1) + tolerance.slack
-        return (spare / 2).toInt().coerceIn(1, members.coerceAtLeast(1))
+        return (spare / SPARE_PER_SENDER).toInt().coerceIn(1, members.coerceAtLeast(1))
     }
 
     /**
@@ -44,6 +44,9 @@
     }
 
     public companion object {
+        /** More than a sender's saved credit, as VMs may briefly disagree about the senders. */
+        private const val SPARE_PER_SENDER = 2
+
         /** Fraction of the rate that counts as used by all senders alike. */
         private const val EQUAL_FRACTION = 0.25
 
--- a/core/src/main/kotlin/org/anvilshed/core/placement/SharedRateLimiter.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/SharedRateLimiter.kt
@@ -46,7 +46,7 @@
     private fun coldPart(load: TargetLoad): Double {
         val limits = settings()
         val rate = SharedRate(
-            coldRequestsPerSecond.coerceAtLeast(MINIMUM_RATE),
+            coldRequestsPerSecond.coerceAtLeast(MINIMUM_COLD_RATE),
             RateTolerance(1.seconds, limits.coldOvershoot, limits.coldSlack),
         )
         val senders = rate.senderCount(members.size)
@@ -77,7 +77,7 @@
     private fun senderPosition(load: TargetLoad): Int = load.senderPosition(membersVersion, self, members)
 
     private companion object {
-        const val MINIMUM_RATE = 0.1
+        const val MINIMUM_COLD_RATE = 0.1
 
         /**
          * A target that takes no requests at all still gets one in four seconds from all VMs together: only a response
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/AnnouncedRate.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/AnnouncedRate.kt
@@ -67,8 +67,8 @@
             val result = HashMap<Int, AnnouncedTargetRate>()
             for (peer in peers) {
                 for (rate in peer.announcement.rates) {
-                    val statedAt = peer.receivedAt - rate.ageMillis.milliseconds
-                    val announced = AnnouncedTargetRate(rate.statement, statedAt, rate.sends / UNITS)
+                    val statedAt = peer.receivedAt - rate.ageMillis.coerceAtLeast(0).milliseconds
+                    val announced = AnnouncedTargetRate(rate.statement, statedAt, rate.sends.coerceAtLeast(0) / UNITS)
                     result.merge(rate.targetHash, announced, ::combine)
                 }
             }
