Count the announced load of a silent VM no longer than it is live

Callers: a VM whose last peer was killed refused requests although its targets were free, for as long as no other VM announced anything; parts of rate limits would stay small in the same way.

Cause: the sums over all peers were made anew only when an announcement arrived.

Change: the sums are made anew with each slow tick (250 ms). GatewayPeerLoadTest, "the load of a VM that was killed is no longer counted, although no other VM announces anything": refused for 5 s before, served within 3.7 s after (1.5 s is the limit of silence).

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -224,6 +224,8 @@
     }
 
     private fun slowTick(now: MonotonicTime) {
+        // Silent VMs stop to count without an announcement.
+        isAnnouncedLoadStale = true
         feeds.checkEra()
         val ended = directory.expire(now)
         if (ended.isNotEmpty()) {
