--- a/core/src/test/kotlin/org/anvilshed/core/fleet/TargetDirectoryTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/fleet/TargetDirectoryTest.kt
@@ -58,4 +58,29 @@
             directory.replaceEvacuations(emptySet(), 3.seconds, mayBeLost = false, start + 1.seconds)
             directory.coldUntilOrNull(zone) shouldBe start + 4.seconds
         }
+
+        test("an evacuation that a restored store lacks holds for a while, and its targets count as cold after it") {
+            val directory = TargetDirectory()
+            val zone = ZoneName("zone")
+            directory.replaceEvacuations(setOf(zone), 3.seconds, mayBeLost = false, start)
+            directory.replaceEvacuations(emptySet(), 3.seconds, mayBeLost = true, start)
+            directory.expire(start + 4.seconds) shouldBe emptyList()
+            directory.evacuatedZones shouldBe setOf(zone)
+            directory.expire(start + 5.seconds) shouldBe listOf("zone")
+            directory.evacuatedZones shouldBe emptySet()
+            directory.coldUntilOrNull(zone) shouldBe start + 8.seconds
+        }
+
+        test("an evacuation that was lost and written again ends only when the operator ends it") {
+            val directory = TargetDirectory()
+            val zone = ZoneName("zone")
+            directory.replaceEvacuations(setOf(zone), 3.seconds, mayBeLost = false, start)
+            directory.replaceEvacuations(emptySet(), 3.seconds, mayBeLost = true, start)
+            directory.replaceEvacuations(setOf(zone), 3.seconds, mayBeLost = false, start + 1.seconds)
+            directory.expire(start + 10.seconds) shouldBe emptyList()
+            directory.evacuatedZones shouldBe setOf(zone)
+            directory.replaceEvacuations(emptySet(), 3.seconds, mayBeLost = false, start + 11.seconds)
+            directory.evacuatedZones shouldBe emptySet()
+            directory.coldUntilOrNull(zone) shouldBe start + 14.seconds
+        }
     })
