Select senders with selectHighest, and judge the rate of a candidate once

SharedRate.senderPosition repeated the scores and the order for equal scores of selectHighest (core/membership). Each candidate of a decision got the delay of its rate limit, and mayUse computed it a second time. requestsPerSecond had an early return that its last line covers. Behaviour is the same.

--- a/core/src/main/kotlin/org/anvilshed/core/placement/SharedRate.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/SharedRate.kt
@@ -1,6 +1,6 @@
 package org.anvilshed.core.placement
 
-import org.anvilshed.core.membership.rendezvousScore
+import org.anvilshed.core.membership.selectHighest
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
@@ -51,15 +51,10 @@
         private const val EQUAL_FRACTION = 0.25
 
         /**
-         * Returns the position of the VM [self] among [members] as a sender to the target [target]; the VMs at the
+         * Returns the position of the VM [self], one of [members], as a sender to the target [target]; the VMs at the
          * first [senderCount] positions are the senders.
          */
-        public fun senderPosition(target: String, self: String, members: Collection<String>): Int {
-            val ownScore = rendezvousScore(target, self)
-            return members.count { member ->
-                val score = rendezvousScore(target, member)
-                score > ownScore || (score == ownScore && member < self)
-            }
-        }
+        public fun senderPosition(target: String, self: String, members: Collection<String>): Int =
+            selectHighest(target, members, members.size) { it }.indexOf(self)
     }
 }
--- a/core/src/main/kotlin/org/anvilshed/core/placement/SharedRateLimiter.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/SharedRateLimiter.kt
@@ -35,12 +35,9 @@
 
     /** Returns this VM's part of the rate that the target takes, in requests per second; infinite without a limit. */
     fun requestsPerSecond(load: TargetLoad, now: MonotonicTime): Double {
-        val stated = load.rateLimit.requestsPerSecondOrNull
-        val isCold = load.isCold(now)
-        if (stated == null && !isCold) return Double.POSITIVE_INFINITY
-        val coldPart = if (isCold) coldPart(load) else Double.POSITIVE_INFINITY
-        val statedPart = if (stated == null) Double.POSITIVE_INFINITY else statedPart(load, stated, now)
-        return minOf(coldPart, statedPart)
+        val coldPart = if (load.isCold(now)) coldPart(load) else Double.POSITIVE_INFINITY
+        val statedPart = load.rateLimit.requestsPerSecondOrNull?.let { statedPart(load, it, now) }
+        return minOf(coldPart, statedPart ?: Double.POSITIVE_INFINITY)
     }
 
     private fun coldPart(load: TargetLoad): Double {
--- a/core/src/main/kotlin/org/anvilshed/core/placement/TargetSelector.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/TargetSelector.kt
@@ -68,7 +68,7 @@
         for (candidate in candidates) {
             if (candidate.cost < cheapest.cost) cheapest = candidate
             val isCheaper = free == null || candidate.cost < free.cost
-            if (isCheaper && hasRoom(candidate) && mayUse(candidate.load, shift, now)) free = candidate
+            if (isCheaper && hasRoom(candidate) && mayUse(candidate, shift)) free = candidate
         }
         // A target that has room but that this VM may not use now is not worth waiting for.
         val best = if (free != null && hasRoom(cheapest)) free else cheapest
@@ -141,9 +141,9 @@
         }
     }
 
-    /** Returns whether the limits for other regions and on the target's rate allow a request to it at [now]. */
-    private fun mayUse(load: TargetLoad, shift: ShiftPermissions, now: MonotonicTime): Boolean =
-        rateLimiter.allows(load, now) && shift.allows(load)
+    /** Returns whether the limits for other regions and on the target's rate allow a request to it now. */
+    private fun mayUse(candidate: Candidate, shift: ShiftPermissions): Boolean =
+        candidate.rateDelay == Duration.ZERO && shift.allows(candidate.load)
 
     /** Returns what the choice of a target costs in addition to the latency, as a fraction of the processing time. */
     private fun surchargeFraction(
