Describe the announced rate of a target by one type

TargetRateUse and AnnouncedTargetRate had the same three properties, of one VM and of several; the key of the target is the key of the map now. The reading of an announced limit had two branches for unknown values.

--- a/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
@@ -141,12 +141,13 @@
         inFlight.load.rateLimit.record(statement, now)
 
     /** Returns what other VMs need to know at [now] about the targets that state a rate limit, or did so recently. */
-    public fun rateUses(now: MonotonicTime): List<TargetRateUse> =
-        loads.values.mapNotNull { it.rateLimit.useOrNull(it.target.key, now) }
+    public fun rates(now: MonotonicTime): Map<TargetKey, TargetRate> = buildMap {
+        for ((key, load) in loads) load.rateLimit.announcementOrNull(now)?.let { put(key, it) }
+    }
 
     /** Replaces what other VMs announced about the rate limits of targets, which [announced] returns. */
-    public fun updateAnnouncedRates(announced: (TargetKey) -> AnnouncedTargetRate?) {
-        for (load in loads.values) load.rateLimit.recordAnnounced(announced(load.target.key))
+    public fun updateAnnouncedRates(announced: (TargetKey) -> TargetRate?) {
+        for ((key, load) in loads) load.rateLimit.recordAnnounced(announced(key))
     }
 
     /** Returns the time after the send of [inFlight] at which its answer is so late that the target may have failed. */
--- a/core/src/main/kotlin/org/anvilshed/core/placement/TargetRateLimit.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/TargetRateLimit.kt
@@ -1,7 +1,6 @@
 package org.anvilshed.core.placement
 
 import org.anvilshed.core.MonotonicTime
-import org.anvilshed.core.fleet.TargetKey
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
@@ -44,7 +43,7 @@
     }
 
     /** Records what other VMs announced; their statement counts if the target made it after the one known here. */
-    fun recordAnnounced(announced: AnnouncedTargetRate?) {
+    fun recordAnnounced(announced: TargetRate?) {
         sendsOfOthers = announced?.sendsPerSecond ?: 0.0
         val stated = announced?.statement ?: return
         if (statedAt?.let { announced.statedAt <= it } == true) return
@@ -52,13 +51,13 @@
         replace(stated, announced.statedAt)
     }
 
-    /** Returns what other VMs need to know about [target] at [now], or `null` if there is nothing. */
-    fun useOrNull(target: TargetKey, now: MonotonicTime): TargetRateUse? {
+    /** Returns what other VMs need to know about the target at [now], or `null` if there is nothing. */
+    fun announcementOrNull(now: MonotonicTime): TargetRate? {
         val at = statedAt ?: return null
         val isEnded = requestsPerSecondOrNull == null
         if (!hadLimit || (isEnded && now - at >= END_ANNOUNCEMENT_TIME)) return null
-        val use = TargetRateUse(target, statement.takeIf { isStatedHere }, at, sendsPerSecond(now))
-        return use.takeIf { it.statement != null || it.sendsPerSecond > 0.0 }
+        val rate = TargetRate(statement.takeIf { isStatedHere }, at, sendsPerSecond(now))
+        return rate.takeIf { it.statement != null || it.sendsPerSecond > 0.0 }
     }
 
     private fun replace(stated: RateLimitStatement, at: MonotonicTime): Boolean {
--- a/core/src/test/kotlin/org/anvilshed/core/placement/SharedRateLimiterTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/SharedRateLimiterTest.kt
@@ -52,7 +52,7 @@
             it.update(ServicePolicy(100, 60.seconds, coldRate), names)
         }
         val load = TargetLoad(TARGET.copy(coldUntil = coldUntil), START)
-        var announced: TargetRateUse? = null
+        var announced: TargetRate? = null
     }
 
     private val names = List(members) { "vm-$it" }
@@ -122,12 +122,12 @@
 
     /** The VMs of [running] exchange what they know; the others neither announce nor receive anything. */
     private fun announce(running: IntRange) {
-        for (index in running) vms[index].announced = vms[index].load.rateLimit.useOrNull(TARGET.key, now)
+        for (index in running) vms[index].announced = vms[index].load.rateLimit.announcementOrNull(now)
         val uses = vms.mapNotNull { it.announced }
         val latest = uses.filter { it.statement != null }.maxByOrNull { it.statedAt.nanoseconds } ?: return
         for (index in running) {
             val others = uses.sumOf { it.sendsPerSecond } - (vms[index].announced?.sendsPerSecond ?: 0.0)
-            vms[index].load.rateLimit.recordAnnounced(AnnouncedTargetRate(latest.statement, latest.statedAt, others))
+            vms[index].load.rateLimit.recordAnnounced(TargetRate(latest.statement, latest.statedAt, others))
         }
     }
 
@@ -213,9 +213,9 @@
         test("a statement of a target counts by the time at which the target made it, whoever got it") {
             val limit = TargetRateLimit()
             limit.record(RateLimitStatement.Unlimited, START)
-            limit.recordAnnounced(AnnouncedTargetRate(RateLimitStatement.Limited(5.0), START - 1.seconds, 0.0))
+            limit.recordAnnounced(TargetRate(RateLimitStatement.Limited(5.0), START - 1.seconds, 0.0))
             limit.requestsPerSecondOrNull shouldBe null
-            limit.recordAnnounced(AnnouncedTargetRate(RateLimitStatement.Limited(5.0), START + 1.seconds, 0.0))
+            limit.recordAnnounced(TargetRate(RateLimitStatement.Limited(5.0), START + 1.seconds, 0.0))
             limit.requestsPerSecondOrNull shouldBe 5.0
             limit.record(RateLimitStatement.Unreadable, START + 2.seconds)
             limit.requestsPerSecondOrNull shouldBe 5.0
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -251,7 +251,7 @@
     }
 
     private fun announcedLoad(now: MonotonicTime) = AnnouncedLoad(occupiedSlots()) {
-        serviceQueues.values.flatMap { it.pool.rateUses(now) }.map { AnnouncedRate.of(it, now) }
+        serviceQueues.values.flatMap { it.pool.rates(now).entries }.map { AnnouncedRate.of(it.key, it.value, now) }
     }
 
     private fun occupiedSlots(): Map<Int, Int> {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/AnnouncedRate.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/AnnouncedRate.kt
@@ -5,9 +5,8 @@
 import kotlinx.serialization.cbor.CborArray
 import org.anvilshed.core.MonotonicTime
 import org.anvilshed.core.fleet.TargetKey
-import org.anvilshed.core.placement.AnnouncedTargetRate
 import org.anvilshed.core.placement.RateLimitStatement
-import org.anvilshed.core.placement.TargetRateUse
+import org.anvilshed.core.placement.TargetRate
 import kotlin.math.roundToInt
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -30,10 +29,9 @@
 ) {
     private val statement: RateLimitStatement?
         get() = when {
-            limit == NOT_STATED -> null
+            limit >= 0 -> RateLimitStatement.Limited(limit / UNITS)
             limit == UNLIMITED -> RateLimitStatement.Unlimited
-            limit < 0 -> null
-            else -> RateLimitStatement.Limited(limit / UNITS)
+            else -> null
         }
 
     public companion object {
@@ -47,10 +45,10 @@
         /** Returns the key of a target process in announcements; another process of the same name has another one. */
         public fun hashOf(target: TargetKey): Int = target.hashCode()
 
-        /** Returns [use] as it is announced at [now]. */
-        public fun of(use: TargetRateUse, now: MonotonicTime): AnnouncedRate = AnnouncedRate(
-            targetHash = hashOf(use.target),
-            limit = when (val statement = use.statement) {
+        /** Returns the [rate] of [target] as it is announced at [now]. */
+        public fun of(target: TargetKey, rate: TargetRate, now: MonotonicTime): AnnouncedRate = AnnouncedRate(
+            targetHash = hashOf(target),
+            limit = when (val statement = rate.statement) {
                 // Conversion to Int saturates, so a huge limit remains a huge one.
                 is RateLimitStatement.Limited -> (statement.requestsPerSecond * UNITS).toInt()
 
@@ -58,24 +56,24 @@
 
                 RateLimitStatement.Unreadable, null -> NOT_STATED
             },
-            ageMillis = (now - use.statedAt).inWholeMilliseconds.coerceIn(0, Int.MAX_VALUE.toLong()).toInt(),
-            sends = (use.sendsPerSecond * UNITS).roundToInt(),
+            ageMillis = (now - rate.statedAt).inWholeMilliseconds.coerceIn(0, Int.MAX_VALUE.toLong()).toInt(),
+            sends = (rate.sendsPerSecond * UNITS).roundToInt(),
         )
 
         /** Sums up the rates that [peers] announced, by [targetHash]; of several limits, the one stated last counts. */
-        public fun sum(peers: List<PeerVm>): Map<Int, AnnouncedTargetRate> {
-            val result = HashMap<Int, AnnouncedTargetRate>()
+        public fun sum(peers: List<PeerVm>): Map<Int, TargetRate> {
+            val result = HashMap<Int, TargetRate>()
             for (peer in peers) {
                 for (rate in peer.announcement.rates) {
                     val statedAt = peer.receivedAt - rate.ageMillis.coerceAtLeast(0).milliseconds
-                    val announced = AnnouncedTargetRate(rate.statement, statedAt, rate.sends.coerceAtLeast(0) / UNITS)
+                    val announced = TargetRate(rate.statement, statedAt, rate.sends.coerceAtLeast(0) / UNITS)
                     result.merge(rate.targetHash, announced, ::combine)
                 }
             }
             return result
         }
 
-        private fun combine(first: AnnouncedTargetRate, second: AnnouncedTargetRate): AnnouncedTargetRate {
+        private fun combine(first: TargetRate, second: TargetRate): TargetRate {
             val isSecondLater =
                 first.statement == null || (second.statement != null && second.statedAt > first.statedAt)
             val latest = if (isSecondLater) second else first
