Read the version of the config without building a whole announcement

Also: the era of a removal is that of its last revision and was kept twice, and the two halves of the continuity of a feed are one function. Behaviour is the same.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/FleetFeeds.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/FleetFeeds.kt
@@ -59,10 +59,14 @@
     val haveTargetsListing: Boolean
         get() = byKind.getValue(StoreKind.TARGETS).hasListing
 
+    /** Version of the config in force, or [AnnouncedStore.NO_CONFIG]. */
+    val configVersion: Long
+        get() = state.currentOrNull?.config?.version ?: AnnouncedStore.NO_CONFIG
+
     /** Returns what is known of the store, for announcements to other VMs. */
     fun announced(): AnnouncedStore = AnnouncedStore(
         revisions = StoreKind.entries.map { byKind[it]?.changedRevision ?: StoreRevision.NONE },
-        configVersion = state.currentOrNull?.config?.version ?: AnnouncedStore.NO_CONFIG,
+        configVersion = configVersion,
     )
 
     /** Lists the objects of all kinds again if the store was found to be restored from an older copy. */
@@ -82,7 +86,7 @@
                 log.info("config-in-force", "version" to config.version, "routes" to config.routes.size)
                 onConfigChanged()
             } else {
-                log.info("config-kept", "version" to state.currentOrNull?.config?.version, "received" to config.version)
+                log.info("config-kept", "version" to configVersion, "received" to config.version)
             }
         }
     }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/KnownObjects.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/KnownObjects.kt
@@ -15,10 +15,11 @@
  * @param versionOf returns the version of a content, or `null` if the content does not state it.
  */
 internal class KnownObjects(private val keepsLost: Boolean, private val versionOf: (StoreObject) -> ContentVersion?) {
-    private class Removed(val known: StoreObject, val era: Long, val at: MonotonicTime)
+    /** Removal at [at] of an object; [last] is its last known content, with a revision of the era of the removal. */
+    private class Removal(val last: StoreObject, val at: MonotonicTime)
 
     private val objects = LinkedHashMap<String, StoreObject>()
-    private val removed = HashMap<String, Removed>()
+    private val removed = HashMap<String, Removal>()
 
     /** All objects. */
     val values: Collection<StoreObject>
@@ -74,7 +75,7 @@
     }
 
     private fun remember(item: StoreObject, now: MonotonicTime) {
-        removed[item.name] = Removed(item, item.revision.era, now)
+        removed[item.name] = Removal(item, now)
     }
 
     /** Returns the newer one of [received] and [known], or `null` if the object was removed after [received]. */
@@ -91,8 +92,8 @@
 
     private fun wasRemovedLater(received: StoreObject): Boolean {
         val removal = removed[received.name] ?: return false
-        if (received.revision.era <= removal.era) return false
-        return compareContentsOrNull(received, removal.known)?.let { it <= 0 } ?: false
+        if (received.revision.era <= removal.last.revision.era) return false
+        return compareContentsOrNull(received, removal.last)?.let { it <= 0 } ?: false
     }
 
     private fun compareContentsOrNull(first: StoreObject, second: StoreObject): Int? {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
@@ -183,12 +183,10 @@
         listener.listed(objects.values.toList(), if (isRestored) StoreContinuity.RESTORED else continuity())
     }
 
-    private fun continuity(): StoreContinuity =
-        if (wasInterruptedRecently()) StoreContinuity.INTERRUPTED else StoreContinuity.CONTINUOUS
-
-    private fun wasInterruptedRecently(): Boolean {
-        if (unreachableSince != null) return true
-        return interruptedUntil?.let { clock() - it < EXPIRY_WINDOW } ?: false
+    private fun continuity(): StoreContinuity {
+        val isInterrupted =
+            unreachableSince != null || interruptedUntil?.let { clock() - it < EXPIRY_WINDOW } ?: false
+        return if (isInterrupted) StoreContinuity.INTERRUPTED else StoreContinuity.CONTINUOUS
     }
 
     private fun recordFailure(result: StoreResult<*>) {
