Share the samples of the placement tests, and check the number of senders again

SharedRateLimiterTest had settings and a target like those of ServicePoolTest, and three tests of the restored store the same loop. No assertion is gone; one is back: ColdTargetPacerTest, which SharedRateLimiterTest replaced, also checked that as many VMs count as senders as the limit allows.

--- a/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
@@ -11,63 +11,24 @@
 import io.kotest.matchers.types.shouldBeInstanceOf
 import org.anvilshed.core.MonotonicTime
 import org.anvilshed.core.RegionName
-import org.anvilshed.core.ServiceName
-import org.anvilshed.core.SocketAddress
-import org.anvilshed.core.ZoneName
 import org.anvilshed.core.fleet.RegisteredTarget
-import org.anvilshed.core.fleet.TargetKey
 import org.anvilshed.core.ingress.ServicePolicy
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.ZERO
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-private val LOCAL = ZoneName("local")
-private val REMOTE = ZoneName("remote")
-private val SETTINGS = PlacementSettings(
-    zone = LOCAL,
-    regions = mapOf(LOCAL to RegionName("home"), REMOTE to RegionName("away")),
-    retryRatio = 0.2,
-    retryWindow = 10.seconds,
-    retrySlack = 10.0,
-    coldOvershoot = 1.5,
-    coldSlack = 5.0,
-    maximumShift = 0.15,
-)
-private val START = MonotonicTime(1_000_000_000_000)
-
-private fun target(
-    name: String,
-    zone: ZoneName = LOCAL,
-    slots: Int = 2,
-    coldUntil: MonotonicTime = START - 60.seconds,
-) = RegisteredTarget(
-    key = TargetKey(name, 1),
-    service = ServiceName("service"),
-    address = SocketAddress("127.0.0.1", 80),
-    zone = zone,
-    slots = slots,
-    draining = false,
-    coldUntil = coldUntil,
-)
-
-private fun request(
-    now: MonotonicTime,
-    priority: Int = 1,
-    latencyObjective: Duration = 300.milliseconds,
-    deadline: Duration = 1.seconds,
-    key: String? = null,
-) = PlacementRequest(
-    workloadClass = WorkloadClass(idempotent = true, priority = priority, latencyObjective = latencyObjective),
-    startedAt = now,
-    deadline = now + deadline,
-    affinityKey = key,
-    homeRegions = emptySet(),
-)
-
 private fun pool(vararg targets: RegisteredTarget): ServicePool {
     val shiftLimiter = ShiftChangeLimiter({ 0.15 }, RegionName("home"))
-    val pool = ServicePool("vm", { SETTINGS }, shiftLimiter) { if (it == LOCAL) 1.milliseconds else 100.milliseconds }
+    val pool = ServicePool("vm", { SETTINGS }, shiftLimiter) {
+        if (it ==
+            LOCAL_ZONE
+        ) {
+            1.milliseconds
+        } else {
+            100.milliseconds
+        }
+    }
     pool.updateTargets(targets.toList(), emptySet(), START - 10.seconds)
     pool.updatePolicy(ServicePolicy(100, 3.seconds, 10.0), listOf("vm"))
     return pool
@@ -92,7 +53,7 @@
         // Guards against decisions whose cost grows with the square of the targets, or with the length of the queue.
         test("a decision looks at each target once, and at none for waiting requests while all targets are full") {
             var lookups = 0
-            val targets = List(200) { target("target-$it", if (it % 2 == 0) LOCAL else REMOTE) }
+            val targets = List(200) { target("target-$it", if (it % 2 == 0) LOCAL_ZONE else REMOTE_ZONE) }
             val pool = ServicePool("vm", { SETTINGS }, ShiftChangeLimiter({ 0.15 }, RegionName("home"))) {
                 lookups++
                 1.milliseconds
@@ -253,7 +214,7 @@
             pool.offer(request(START), START).shouldBeInstanceOf<Placement.Refuse>().reason shouldBe
                 PlacementRefusalReason.NO_TARGET
             pool.mayReceive(target("a")) shouldBe false
-            pool.updateTargets(listOf(target("a")), setOf(LOCAL), START)
+            pool.updateTargets(listOf(target("a")), setOf(LOCAL_ZONE), START)
             pool.offer(request(START), START).shouldBeInstanceOf<Placement.Refuse>()
             pool.mayReceive(target("a")) shouldBe false
         }
@@ -276,13 +237,13 @@
         }
 
         test("targets of another region are used only when those of the VM's region are full") {
-            val pool = pool(target("a", slots = 1), target("b", zone = REMOTE, slots = 5))
-            repeat(2) { pool.send(START).target.zone shouldBe LOCAL }
+            val pool = pool(target("a", slots = 1), target("b", zone = REMOTE_ZONE, slots = 5))
+            repeat(2) { pool.send(START).target.zone shouldBe LOCAL_ZONE }
         }
 
         // Guards against a region that has just lost its targets and refuses all its requests as too late.
         test("requests of a region without targets are sent to other regions and wait for their targets") {
-            val pool = pool(target("far", zone = REMOTE, slots = 1))
+            val pool = pool(target("far", zone = REMOTE_ZONE, slots = 1))
             pool.offer(request(START, latencyObjective = 2.seconds, deadline = 5.seconds), START)
                 .shouldBeInstanceOf<Placement.Send>()
             pool.offer(request(START, latencyObjective = 2.seconds, deadline = 5.seconds), START)
@@ -291,11 +252,11 @@
 
         // Guards against refusals while another region has an idle slot that could still serve the request.
         test("a request that can't wait for a target of its region is sent to a free slot of another region") {
-            val pool = pool(target("near", slots = 1), target("far", zone = REMOTE, slots = 4))
+            val pool = pool(target("near", slots = 1), target("far", zone = REMOTE_ZONE, slots = 4))
             pool.learn(1, 300.milliseconds)
             val zones = List(20) { pool.offer(request(START), START) }
                 .filterIsInstance<Placement.Send>().map { it.target.zone }
-            zones shouldContain REMOTE
+            zones shouldContain REMOTE_ZONE
         }
 
         test("other VMs' requests in flight count as load, so that VMs do not all choose the same target") {
--- a/core/src/test/kotlin/org/anvilshed/core/placement/SharedRateLimiterTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/SharedRateLimiterTest.kt
@@ -7,39 +7,13 @@
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import org.anvilshed.core.MonotonicTime
-import org.anvilshed.core.RegionName
-import org.anvilshed.core.ServiceName
-import org.anvilshed.core.SocketAddress
-import org.anvilshed.core.ZoneName
-import org.anvilshed.core.fleet.RegisteredTarget
-import org.anvilshed.core.fleet.TargetKey
 import org.anvilshed.core.ingress.ServicePolicy
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-private val ZONE = ZoneName("zone")
-private val SETTINGS = PlacementSettings(
-    zone = ZONE,
-    regions = mapOf(ZONE to RegionName("region")),
-    retryRatio = 0.2,
-    retryWindow = 10.seconds,
-    retrySlack = 10.0,
-    coldOvershoot = 1.5,
-    coldSlack = 5.0,
-    maximumShift = 0.15,
-)
-private val START = MonotonicTime(1_000_000_000_000)
-private val TARGET = RegisteredTarget(
-    key = TargetKey("target", 1),
-    service = ServiceName("service"),
-    address = SocketAddress("127.0.0.1", 80),
-    zone = ZONE,
-    slots = 4,
-    draining = false,
-    coldUntil = START - 60.seconds,
-)
+private val TARGET = target("target")
 
 /** VMs that send to one target as often as their limiters allow, and announce their use as the gateway does. */
 private class SimulatedSenders(
@@ -104,15 +78,8 @@
     }
 
     private fun send(vm: Vm, stated: Double?) {
-        val request = PlacementRequest(
-            WorkloadClass(idempotent = true, priority = 1, latencyObjective = 300.milliseconds),
-            now,
-            now + 1.seconds,
-            null,
-            emptySet(),
-        )
         vm.load.recordSent(
-            InFlightRequest(vm.load, request, now, 100.milliseconds, 0.0, 1.0, ObjectRank.ANY, null),
+            InFlightRequest(vm.load, request(now), now, 100.milliseconds, 0.0, 1.0, ObjectRank.ANY, null),
             now,
         )
         val statement = stated?.let(RateLimitStatement::Limited) ?: RateLimitStatement.Unlimited
@@ -145,6 +112,9 @@
         test("all VMs together stay within the bound of a cold target in any second, whatever their number") {
             for ((rate, members) in listOf(16.0 to 7, 7.6 to 7, 16.0 to 26, 7.6 to 24, 2.0 to 300)) {
                 val senders = SimulatedSenders(members, coldRate = rate, coldUntil = START + 60.seconds)
+                val names = List(members) { "vm-$it" }
+                val count = SharedRate(rate, RateTolerance(1.seconds, 1.5, 5.0)).senderCount(members)
+                names.count { SharedRate.senderPosition("target", it, names) < count } shouldBe count
                 senders.run(5.seconds, stated = null, active = 0 until members)
                 senders.maximumIn(1.seconds).toDouble() shouldBeLessThanOrEqual rate * 1.5 + 5.0
                 // A VM sends its first request at once, and the pace must not keep the others from the rate.
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRateLimitTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRateLimitTest.kt
@@ -14,7 +14,6 @@
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.concurrent.thread
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 private const val RATE = 5
@@ -82,7 +81,7 @@
 
             isLimited.set(false)
             await { testbeds.all { it.call("/safe/").status == 200 } }
-            Thread.sleep(500.milliseconds.inWholeMilliseconds)
+            Thread.sleep(500)
             flood(testbeds, perSecond = 5, duration = 2.seconds).all { it.status == 200 } shouldBe true
             testbeds.forEach { it.close() }
             target.close()
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRestoredStoreTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRestoredStoreTest.kt
@@ -9,6 +9,7 @@
 import org.anvilshed.gateway.testbed.InMemoryStore
 import org.anvilshed.gateway.testbed.ScriptedTarget
 import org.anvilshed.gateway.testbed.TEST_ZONE
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -26,6 +27,12 @@
     isDown = false
 }
 
+/** Runs [check] again and again for [duration]. */
+private fun repeatFor(duration: Duration, check: () -> Unit) {
+    val end = System.nanoTime() + duration.inWholeNanoseconds
+    while (System.nanoTime() < end) check()
+}
+
 class GatewayRestoredStoreTest :
     FunSpec({
         val target = ScriptedTarget { request, socket -> ScriptedTarget.respond(socket, request) }
@@ -57,8 +64,7 @@
                 testbed.awaitReady()
                 await { testbed.call("/new/").status == 200 }
                 testbed.store.interrupt { testbed.store.restore(copy) }
-                val end = System.nanoTime() + 3.seconds.inWholeNanoseconds
-                while (System.nanoTime() < end) testbed.call("/new/").status shouldBe 200
+                repeatFor(3.seconds) { testbed.call("/new/").status shouldBe 200 }
             }
         }
 
@@ -91,8 +97,7 @@
                 testbed.store.remove(StoreKind.TARGETS, "target")
                 await { testbed.call("/safe/").status == 503 }
                 testbed.store.interrupt { testbed.store.restore(copy) }
-                val end = System.nanoTime() + 3.seconds.inWholeNanoseconds
-                while (System.nanoTime() < end) testbed.call("/safe/").status shouldBe 503
+                repeatFor(3.seconds) { testbed.call("/safe/").status shouldBe 503 }
                 testbed.target("target", target, sequence = 5)
                 await(CONFIG_BOUND) { testbed.call("/safe/").status == 200 }
             }
@@ -108,8 +113,7 @@
                 Thread.sleep(1_000)
                 testbed.call("/safe/").status shouldBe 200
                 testbed.target("target", target, sequence = 4)
-                val end = System.nanoTime() + 3.seconds.inWholeNanoseconds
-                while (System.nanoTime() < end) testbed.call("/safe/").status shouldBe 200
+                repeatFor(3.seconds) { testbed.call("/safe/").status shouldBe 200 }
             }
         }
 
