Log for how long and why a target is kept without its entry

The lines target-changed and targets-listed now say how the content of the store followed from what was known (store), which targets a listing dropped (missing), and which are used on without an entry and for how long (kept, kept_ms).

--- a/core/src/main/kotlin/org/anvilshed/core/fleet/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/fleet/TargetDirectory.kt
@@ -29,6 +29,13 @@
     public val evacuatedZones: Set<ZoneName>
         get() = evacuated + lostEvacuationsUntil.keys
 
+    /** Names of the targets that are kept although their entries disappeared. */
+    public val lapsingNames: Set<String>
+        get() = lapsing.keys.toSet()
+
+    /** Returns how long after [now] the target [name] is kept without an entry, or `null` if it is not kept that way. */
+    public fun keptForOrNull(name: String, now: MonotonicTime): Duration? = lapsing[name]?.let { it.until - now }
+
     /**
      * Replaces all entries at [now] by a listing of the store.
      *
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/FleetFeeds.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/FleetFeeds.kt
@@ -95,12 +95,15 @@
         override fun listed(objects: List<StoreObject>, continuity: StoreContinuity) {
             val now = clock()
             val mayHaveExpired = continuity != StoreContinuity.CONTINUOUS
+            val before = directory.targets.mapTo(HashSet()) { it.key.name }
             directory.replaceAll(objects.mapNotNull { readOrNull(it, now) }, mayHaveExpired, now)
             log.info(
                 "targets-listed",
                 "count" to objects.size,
                 "store_was_away" to mayHaveExpired,
                 "store" to continuity,
+                "missing" to before - directory.targets.mapTo(HashSet()) { it.key.name },
+                "kept" to directory.lapsingNames,
             )
             onTargetsChanged()
         }
@@ -121,6 +124,8 @@
                     "draining" to target?.draining,
                     "zone" to target?.zone?.value,
                     "revision" to event.changed.revision,
+                    "store" to continuity,
+                    "kept_ms" to directory.keptForOrNull(event.changed.name, now)?.inWholeMilliseconds,
                 )
             }
             onTargetsChanged()
