--- /dev/null
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayLeavingTargetTest.kt
@@ -0,0 +1,60 @@
+package org.anvilshed.gateway
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.anvilshed.gateway.store.StoreKind
+import org.anvilshed.gateway.testbed.GatewayTestbed
+import org.anvilshed.gateway.testbed.GatewayTestbed.Companion.await
+import org.anvilshed.gateway.testbed.ScriptedTarget
+
+/** Time after which a target that has left must get no more requests, in milliseconds. */
+private const val DRAIN_BOUND_MILLIS = 2_500L
+
+class GatewayLeavingTargetTest :
+    FunSpec({
+        val target = ScriptedTarget { request, socket -> ScriptedTarget.respond(socket, request) }
+        val other = ScriptedTarget { request, socket -> ScriptedTarget.respond(socket, request) }
+        afterSpec {
+            target.close()
+            other.close()
+        }
+
+        test("a target that leaves while a VM cannot reach the store for a moment gets no requests after the bound") {
+            GatewayTestbed().use { testbed ->
+                testbed.config(1)
+                testbed.target("target", target)
+                testbed.awaitReady()
+                testbed.call("/safe/").status shouldBe 200
+                testbed.store.isDown = true
+                Thread.sleep(200)
+                testbed.store.remove(StoreKind.TARGETS, "target")
+                val left = System.nanoTime()
+                Thread.sleep(600)
+                testbed.store.isDown = false
+                Thread.sleep(DRAIN_BOUND_MILLIS - (System.nanoTime() - left) / 1_000_000)
+                testbed.call("/safe/").status shouldBe 503
+            }
+        }
+
+        test("a target that leaves shortly after a VM could not reach the store gets no requests after the bound") {
+            GatewayTestbed().use { testbed ->
+                testbed.config(1)
+                testbed.target("target", target)
+                testbed.awaitReady()
+                repeat(3) {
+                    testbed.target("target", target)
+                    await { testbed.call("/safe/").status == 200 }
+                    testbed.store.isDown = true
+                    Thread.sleep(300)
+                    testbed.store.isDown = false
+                    Thread.sleep(1_000)
+                    // The event of the removal waits for the pause after this one.
+                    testbed.target("other", other, draining = true)
+                    Thread.sleep(20)
+                    testbed.store.remove(StoreKind.TARGETS, "target")
+                    Thread.sleep(DRAIN_BOUND_MILLIS)
+                    testbed.call("/safe/").status shouldBe 503
+                }
+            }
+        }
+    })
