Keep a target without an entry only after an outage in which entries expire

Cause: every failed call of a VM counted as an outage of the store, in which entries of live targets may have expired, and a removal within 2 s after it was kept for 2.2 s from the arrival of its event, up to 250 ms late, and to the next tick of 250 ms. Class: one bound is spent several times by parts that do not know of one another.

Change: StoreContact decides for all feeds of a VM. Entries expire after three missed reports, so an interruption that is shorter than two report periods explains no missing entry; after a longer one all targets have the same 2.2 s from the return of the store, whenever their removal is heard of. Kept targets end at the next tick of 20 ms.

The tests of TargetDirectory state the end of the time instead of its cause; the times checked are as strict as before.

--- a/core/src/main/kotlin/org/anvilshed/core/fleet/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/fleet/TargetDirectory.kt
@@ -4,15 +4,13 @@
 import org.anvilshed.core.ZoneName
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.ZERO
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
  * Targets that are registered in the store, and the zones that are evacuated, as this VM last received them.
  *
- * Entries that disappeared while the store was unreachable or restored from an older copy are kept for [LAPSE_GRACE]
- * after that: their targets may be alive and register again. An entry that disappeared otherwise is dropped at once.
- * Not thread-safe.
+ * Entries that may have expired in an outage of the store are kept until their targets had time to register again, see
+ * [StoreContact]. An entry that disappeared otherwise is dropped at once. Not thread-safe.
  */
 public class TargetDirectory {
     private val registered = HashMap<String, RegisteredTarget>()
@@ -37,18 +35,14 @@
     public fun keptForOrNull(name: String, now: MonotonicTime): Duration? = lapsing[name]?.let { it.until - now }
 
     /**
-     * Replaces all entries at [now] by a listing of the store.
+     * Replaces all entries by a listing of the store.
      *
-     * @param mayHaveExpired whether the store was unreachable or restored before this listing, so that registrations
-     *   may be missing although their targets are alive.
+     * @param mayReturnUntil until when the targets of missing registrations may be alive and register again, or `null`
+     *   if these targets have left.
      */
-    public fun replaceAll(entries: List<RegisteredTarget>, mayHaveExpired: Boolean, now: MonotonicTime) {
+    public fun replaceAll(entries: List<RegisteredTarget>, mayReturnUntil: MonotonicTime?) {
         val listed = entries.associateBy { it.key.name }
-        for (target in registered.values.filter { it.key.name !in listed }) {
-            if (mayHaveExpired && !target.draining) {
-                lapsing[target.key.name] = LapsingTarget(target, now + LAPSE_GRACE)
-            }
-        }
+        for (target in registered.values) if (target.key.name !in listed) keep(target, mayReturnUntil)
         registered.clear()
         registered.putAll(listed)
         lapsing.keys.removeAll(listed.keys)
@@ -61,14 +55,12 @@
     }
 
     /**
-     * Removes the entry [name], which was removed from the store, at [now].
+     * Removes the entry [name], which was removed from the store.
      *
-     * @param mayHaveExpired whether the store became reachable less than [LAPSE_GRACE] ago, so that the
-     *   registration may have expired although its target is alive.
+     * @param mayReturnUntil until when its target may be alive and register again, or `null` if the target has left.
      */
-    public fun remove(name: String, mayHaveExpired: Boolean, now: MonotonicTime) {
-        val target = registered.remove(name) ?: return
-        if (mayHaveExpired && !target.draining) lapsing[name] = LapsingTarget(target, now + LAPSE_GRACE)
+    public fun remove(name: String, mayReturnUntil: MonotonicTime?) {
+        registered.remove(name)?.let { keep(it, mayReturnUntil) }
     }
 
     /**
@@ -99,6 +91,7 @@
 
     /** Drops entries and evacuations that were not written again by [now]; returns their names. */
     public fun expire(now: MonotonicTime): List<String> {
+        if (lapsing.isEmpty() && lostEvacuationsUntil.isEmpty()) return emptyList()
         val endedEvacuations = lostEvacuationsUntil.filterValues { it <= now }.keys.toList()
         lostEvacuationsUntil.keys.removeAll(endedEvacuations.toSet())
         val ended = lapsing.filterValues { it.until <= now }.keys.toList()
@@ -106,16 +99,14 @@
         return ended + endedEvacuations.map { it.value }
     }
 
+    private fun keep(target: RegisteredTarget, until: MonotonicTime?) {
+        if (until != null && !target.draining) lapsing[target.key.name] = LapsingTarget(target, until)
+    }
+
     private class LapsingTarget(val target: RegisteredTarget, val until: MonotonicTime)
 
     public companion object {
         /** An operator writes lost evacuations again within about the time that an evacuation may take. */
         public val LOST_EVACUATION_GRACE: Duration = 5.seconds
-
-        /**
-         * Live targets register again within 2 s after the store is reachable again; the rest is the time that the
-         * event takes to arrive.
-         */
-        public val LAPSE_GRACE: Duration = 2.seconds + 200.milliseconds
     }
 }
--- a/core/src/test/kotlin/org/anvilshed/core/fleet/TargetDirectoryTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/fleet/TargetDirectoryTest.kt
@@ -25,28 +25,28 @@
 
         test("an entry removed while the store is reachable is dropped at once, so its target gets no more requests") {
             val directory = TargetDirectory()
-            directory.replaceAll(listOf(target("a"), target("b")), mayHaveExpired = false, start)
-            directory.remove("a", mayHaveExpired = false, start)
+            directory.replaceAll(listOf(target("a"), target("b")), mayReturnUntil = null)
+            directory.remove("a", mayReturnUntil = null)
             directory.targets.map { it.key.name } shouldContainExactly listOf("b")
-            directory.replaceAll(emptyList(), mayHaveExpired = false, start)
+            directory.replaceAll(emptyList(), mayReturnUntil = null)
             directory.targets.size shouldBe 0
         }
 
         test("entries that lapsed while the store was unreachable are kept until their targets had time to register") {
             val directory = TargetDirectory()
-            directory.replaceAll(listOf(target("a"), target("b"), target("c")), mayHaveExpired = false, start)
-            directory.replaceAll(listOf(target("c")), mayHaveExpired = true, start)
+            directory.replaceAll(listOf(target("a"), target("b"), target("c")), mayReturnUntil = null)
+            directory.replaceAll(listOf(target("c")), mayReturnUntil = start + 2.seconds)
             directory.targets.size shouldBe 3
             directory.put(target("a"))
-            directory.expire(start + 2.seconds) shouldBe emptyList()
-            directory.expire(start + TargetDirectory.LAPSE_GRACE) shouldContainExactly listOf("b")
+            directory.expire(start + 1.seconds) shouldBe emptyList()
+            directory.expire(start + 2.seconds) shouldContainExactly listOf("b")
             directory.targets.map { it.key.name }.toSet() shouldBe setOf("a", "c")
         }
 
         test("the entry of a draining target that disappears while the store is unreachable is dropped at once") {
             val directory = TargetDirectory()
-            directory.replaceAll(listOf(target("a", draining = true)), mayHaveExpired = false, start)
-            directory.replaceAll(emptyList(), mayHaveExpired = true, start)
+            directory.replaceAll(listOf(target("a", draining = true)), mayReturnUntil = null)
+            directory.replaceAll(emptyList(), mayReturnUntil = start + 2.seconds)
             directory.targets.size shouldBe 0
         }
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/FleetFeeds.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/FleetFeeds.kt
@@ -3,6 +3,7 @@
 import org.anvilshed.core.MonotonicTime
 import org.anvilshed.core.ZoneName
 import org.anvilshed.core.fleet.RegisteredTarget
+import org.anvilshed.core.fleet.StoreContact
 import org.anvilshed.core.fleet.TargetDirectory
 import org.anvilshed.core.ingress.IngressConfig
 import org.anvilshed.gateway.peers.AnnouncedStore
@@ -41,6 +42,7 @@
     private val decoders: StoreDecoders,
     private val state: IngressState,
     private val directory: TargetDirectory,
+    private val contact: StoreContact,
     private val log: DecisionLog,
     private val clock: MonotonicClock,
     private val onConfigChanged: () -> Unit,
@@ -52,7 +54,7 @@
         StoreKind.TARGETS to TargetListener(),
         StoreKind.EVACUATIONS to EvacuationListener(),
     ).mapValues { (kind, listener) ->
-        StoreFeed(kind, store, listener, { decoders.contentVersion(kind, it) }, log, clock)
+        StoreFeed(kind, store, listener, { decoders.contentVersion(kind, it) }, contact, log, clock)
     }
 
     /** Whether all targets were received at least once. */
@@ -94,13 +96,12 @@
     private inner class TargetListener : StoreFeedListener {
         override fun listed(objects: List<StoreObject>, continuity: StoreContinuity) {
             val now = clock()
-            val mayHaveExpired = continuity != StoreContinuity.CONTINUOUS
             val before = directory.targets.mapTo(HashSet()) { it.key.name }
-            directory.replaceAll(objects.mapNotNull { readOrNull(it, now) }, mayHaveExpired, now)
+            directory.replaceAll(objects.mapNotNull { readOrNull(it, now) }, contact.mayReturnUntilOrNull(now))
             log.info(
                 "targets-listed",
                 "count" to objects.size,
-                "store_was_away" to mayHaveExpired,
+                "store_was_away" to (continuity != StoreContinuity.CONTINUOUS),
                 "store" to continuity,
                 "missing" to before - directory.targets.mapTo(HashSet()) { it.key.name },
                 "kept" to directory.lapsingNames,
@@ -113,7 +114,7 @@
             for (event in events) {
                 val target = if (event.removed) null else readOrNull(event.changed, now)
                 if (target == null) {
-                    directory.remove(event.changed.name, continuity != StoreContinuity.CONTINUOUS, now)
+                    directory.remove(event.changed.name, contact.mayReturnUntilOrNull(now))
                 } else {
                     directory.put(target)
                 }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -15,6 +15,7 @@
 import org.anvilshed.core.SocketAddress
 import org.anvilshed.core.ZoneName
 import org.anvilshed.core.fleet.RegisteredTarget
+import org.anvilshed.core.fleet.StoreContact
 import org.anvilshed.core.fleet.TargetDirectory
 import org.anvilshed.core.placement.PlacementSettings
 import org.anvilshed.core.placement.ServicePool
@@ -61,6 +62,7 @@
     private val placement: () -> PlacementSettings = { this.settings.placement }
     private val state = IngressState()
     private val directory = TargetDirectory()
+    private val contact = StoreContact { this.settings.reportPeriod }
     private val entryVms = KnownEntryVms(settings.name)
     private val shift = ShiftChangeLimiter({ placement().maximumShift }, settings.region)
     private val roundTripTimes = RoundTripTimes(placement)
@@ -78,6 +80,7 @@
         decoders = decoders,
         state = state,
         directory = directory,
+        contact = contact,
         log = log,
         clock = clock,
         onConfigChanged = { refreshPolicies(clock()) },
@@ -212,6 +215,7 @@
             eventLoopMonitor.timerFired()
             val now = clock()
             announce(now)
+            dropExpiredTargets(now)
             val isRefreshDue = now - announcedLoadRefreshedAt >= ANNOUNCED_LOAD_REFRESH_PERIOD
             if (isAnnouncedLoadStale && isRefreshDue) refreshAnnouncedLoad(now)
             for (queue in serviceQueues.values) if (queue.pool.queueLength > 0) queue.dispatch()
@@ -222,15 +226,17 @@
         }
     }
 
+    private fun dropExpiredTargets(now: MonotonicTime) {
+        val ended = directory.expire(now)
+        if (ended.isEmpty()) return
+        log.info("targets-ended", "names" to ended)
+        refreshTargets(now)
+    }
+
     private fun slowTick(now: MonotonicTime) {
         // Silent VMs stop to count without an announcement.
         isAnnouncedLoadStale = true
         feeds.checkEra()
-        val ended = directory.expire(now)
-        if (ended.isNotEmpty()) {
-            log.info("targets-ended", "names" to ended)
-            refreshTargets(now)
-        }
         refreshPolicies(now)
         connections.closeUnused(directory.targets.mapTo(HashSet()) { it.key }, now)
         callers.closeStalled(now)
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/GatewaySettings.kt
@@ -12,6 +12,7 @@
  * @property listen addresses that this process listens on.
  * @property peerPort UDP port for announcements between entry VMs; the same on all VMs.
  * @property seeds control addresses of some entry VMs, which may be outdated or down.
+ * @property reportPeriod interval at which targets renew their registrations in the store.
  * @property lookupTimeToLive how long callers may cache a lookup response.
  * @property stopTimeout time from the stop signal until the process is killed.
  */
@@ -22,6 +23,7 @@
     public val peerPort: Int,
     public val seeds: List<SocketAddress>,
     public val placement: PlacementSettings,
+    public val reportPeriod: Duration,
     public val lookupTimeToLive: Duration,
     public val stopTimeout: Duration,
 ) {
@@ -32,6 +34,7 @@
     public fun withChangesOf(newer: GatewaySettings): GatewaySettings = copy(
         seeds = newer.seeds,
         placement = newer.placement.copy(zone = placement.zone, retryWindow = placement.retryWindow),
+        reportPeriod = newer.reportPeriod,
         lookupTimeToLive = newer.lookupTimeToLive,
         stopTimeout = newer.stopTimeout,
     )
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
@@ -5,10 +5,10 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.anvilshed.core.MonotonicTime
+import org.anvilshed.core.fleet.StoreContact
 import org.anvilshed.gateway.DecisionLog
 import org.anvilshed.gateway.MonotonicClock
 import kotlin.random.Random
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -29,12 +29,14 @@
  * Confined to the thread of the coroutine that calls [run].
  *
  * @param versionOf returns the version of a content, or `null` if the content does not state it.
+ * @param contact records the responses of the store; shared by all feeds of a VM.
  */
 public class StoreFeed(
     public val kind: StoreKind,
     private val store: ObjectStore,
     private val listener: StoreFeedListener,
     versionOf: (StoreObject) -> ContentVersion?,
+    private val contact: StoreContact,
     private val log: DecisionLog,
     private val clock: MonotonicClock,
 ) {
@@ -44,9 +46,6 @@
     private var watchJob: Job? = null
     private var unreachableSince: MonotonicTime? = null
 
-    /** When the store was reachable again, or found to be restored. */
-    private var interruptedUntil: MonotonicTime? = null
-
     /** Whether a call has failed since the last watch, so that the store may have been restored unnoticed. */
     private var mustVerifyEra = false
 
@@ -122,6 +121,7 @@
     private suspend fun list(): StoreResult<Unit> {
         val result = store.list(kind)
         if (result !is StoreResult.Success) return result.withoutValue()
+        contact.recordResponse(clock())
         val listing = result.value
         log.info(
             "feed-listed",
@@ -140,6 +140,7 @@
         // A restored store may know the revision as that of another change, and would let the watch wait.
         val wait = if (mustVerifyEra) SHORT_WATCH_WAIT else WATCH_WAIT
         val result = store.watch(kind, watchRevision, wait)
+        if (result is StoreResult.Success || result == StoreResult.HistoryGone) contact.recordResponse(clock())
         if (result !is StoreResult.Success) return result.withoutValue()
         mustVerifyEra = false
         val changes = result.value
@@ -176,21 +177,19 @@
     private fun applyListing(listing: StoreListing) {
         val isRestored = hasListing && listing.revision.era > changedRevision.era
         val now = clock()
-        if (isRestored) interruptedUntil = now
+        if (isRestored) contact.recordRestored(now)
         objects.replaceAll(listing, now)
         changedRevision = listing.revision
         watchRevision = listing.revision
         listener.listed(objects.values.toList(), if (isRestored) StoreContinuity.RESTORED else continuity())
     }
 
-    private fun continuity(): StoreContinuity {
-        val isInterrupted =
-            unreachableSince != null || interruptedUntil?.let { clock() - it < EXPIRY_WINDOW } ?: false
-        return if (isInterrupted) StoreContinuity.INTERRUPTED else StoreContinuity.CONTINUOUS
-    }
+    private fun continuity(): StoreContinuity =
+        if (contact.mayReturnUntilOrNull(clock()) != null) StoreContinuity.INTERRUPTED else StoreContinuity.CONTINUOUS
 
     private fun recordFailure(result: StoreResult<*>) {
         mustVerifyEra = true
+        contact.recordFailure()
         if (unreachableSince != null) return
         unreachableSince = clock()
         log.info("store-lost", "kind" to kind, "cause" to result.toString())
@@ -200,7 +199,6 @@
         val since = unreachableSince ?: return
         val now = clock()
         unreachableSince = null
-        interruptedUntil = now
         log.info("store-regained", "kind" to kind, "away_ms" to (now - since).inWholeMilliseconds)
     }
 
@@ -224,8 +222,5 @@
         val INITIAL_BACKOFF = 50.milliseconds
         val MAXIMUM_BACKOFF = 1.seconds
         const val MINIMUM_JITTER_FACTOR = 0.5
-
-        /** A removal within this time after the store is reachable again may be the expired entry of a live target. */
-        val EXPIRY_WINDOW: Duration = 2.seconds
     }
 }
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
@@ -126,6 +126,7 @@
             5.0,
             0.15,
         ),
+        reportPeriod = 1500.milliseconds,
         lookupTimeToLive = 200.milliseconds,
         stopTimeout = 3.seconds,
     )
