Let a VM that is cut off from the store learn from peers that there is no outage

Callers of a VM that could not reach the store were sent to a target for 2.2 s after a peer's copy had shown that it left, 3 s and more in all (2.5 s allowed), although the store served all other VMs.

Change: announcements state how long ago the store responded to the VM (label 13, up to 6 bytes; older builds skip it and send none), and StoreContact counts these responses. As long as they are less than two report periods apart, no entry has expired.

Evidence: the new test of GatewayLeavingTargetTest failed before (200 from the target 2.5 s after it left, 503 expected) and passes now.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/FleetFeeds.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/FleetFeeds.kt
@@ -69,6 +69,7 @@
     fun announced(): AnnouncedStore = AnnouncedStore(
         revisions = StoreKind.entries.map { byKind[it]?.changedRevision ?: StoreRevision.NONE },
         configVersion = configVersion,
+        responseAge = contact.latestOwnResponse?.let { clock() - it },
     )
 
     /** Lists the objects of all kinds again if the store was found to be restored from an older copy. */
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -274,6 +274,7 @@
         val change = announcements.receive(announcement, now)
         if (change == PeerChange.IGNORED) return
         isAnnouncedLoadStale = true
+        announcement.store.responseAge?.let { contact.recordResponseToPeer(now - it) }
         if (change == PeerChange.APPEARED) refreshPolicies(now)
         entryVms.live(now).firstOrNull { it.name.value == announcement.name }?.let(catchUp::fetchNewer)
     }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/Announcement.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/Announcement.kt
@@ -10,6 +10,7 @@
 import kotlinx.serialization.encodeToByteArray
 import org.anvilshed.gateway.store.StoreKind
 import org.anvilshed.gateway.store.StoreRevision
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * State that an entry VM announces to the others several times a second, as one datagram.
@@ -25,6 +26,8 @@
  * @property peers hosts of a few VMs whose announcements this VM received recently.
  * @property eras era of the store for each of [revisions]; absent from older builds and if unknown.
  * @property configVersion version of the config in force; absent from older builds and if there is none.
+ * @property storeResponseAgeMillis time since the store last responded to this VM; absent from older builds and if it
+ *   never did.
  * @property rates what this VM knows about targets that state a rate limit; absent from older builds.
  */
 @OptIn(ExperimentalSerializationApi::class)
@@ -43,12 +46,14 @@
     @CborLabel(10) public val rates: List<AnnouncedRate> = emptyList(),
     @CborLabel(11) public val eras: List<Long> = emptyList(),
     @CborLabel(12) public val configVersion: Long = AnnouncedStore.NO_CONFIG,
+    @CborLabel(13) public val storeResponseAgeMillis: Long = AnnouncedStore.NO_RESPONSE,
 ) {
     /** What this VM knows of the store. */
     public val store: AnnouncedStore
         get() = AnnouncedStore(
             revisions.mapIndexed { index, number -> StoreRevision(eras.getOrElse(index) { 0 }, number) },
             configVersion,
+            storeResponseAgeMillis.takeIf { it >= 0 }?.milliseconds,
         )
 
     /** Returns this announcement as the bytes of a datagram. */
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/AnnouncementExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/AnnouncementExchange.kt
@@ -109,6 +109,7 @@
             revisions = store.revisions.map { it.number },
             eras = store.eras,
             configVersion = store.configVersion,
+            storeResponseAgeMillis = store.responseAge?.inWholeMilliseconds ?: AnnouncedStore.NO_RESPONSE,
             occupiedSlots = load.occupiedSlots,
             rates = load.rates(),
             peers = live.map { it.control.host }.shuffled().take(ANNOUNCED_PEERS),
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayLeavingTargetTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayLeavingTargetTest.kt
@@ -5,6 +5,7 @@
 import org.anvilshed.gateway.store.StoreKind
 import org.anvilshed.gateway.testbed.GatewayTestbed
 import org.anvilshed.gateway.testbed.GatewayTestbed.Companion.await
+import org.anvilshed.gateway.testbed.InMemoryStore
 import org.anvilshed.gateway.testbed.ScriptedTarget
 
 /** Time after which a target that has left must get no more requests, in milliseconds. */
@@ -57,4 +58,27 @@
                 }
             }
         }
+
+        test("a VM that cannot reach the store sends no requests after the bound to a target that left, as a peer knows") {
+            val peerPort = GatewayTestbed.freePort()
+            GatewayTestbed(host = "127.0.0.41", peerPort = peerPort).use { first ->
+                first.config(1)
+                first.target("target", target)
+                first.awaitReady()
+                val unreachable = InMemoryStore().apply { isDown = true }
+                val seeds = listOf(first.settings.listen.control)
+                GatewayTestbed(unreachable, "vm-2", seeds, "127.0.0.42", peerPort).use { second ->
+                    second.awaitReady()
+                    second.call("/safe/").status shouldBe 200
+                    // Longer than an outage in which entries expire; the store responds to the peer all the time.
+                    repeat(7) {
+                        first.config(1)
+                        Thread.sleep(500)
+                    }
+                    first.store.remove(StoreKind.TARGETS, "target")
+                    Thread.sleep(DRAIN_BOUND_MILLIS)
+                    second.call("/safe/").status shouldBe 503
+                }
+            }
+        }
     })
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/peers/AnnouncementOuterNamesTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/peers/AnnouncementOuterNamesTest.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.cbor.CborLabel
 import kotlinx.serialization.decodeFromByteArray
 import java.util.HexFormat
+import kotlin.time.Duration.Companion.milliseconds
 
 private val announcement = Announcement(
     name = "nbo-a-1",
@@ -83,4 +84,17 @@
             Announcement.decodeOrNull(bytes)?.rates shouldBe listOf(AnnouncedRate(1, 460, 20, 130))
             Announcement.decodeOrNull(HexFormat.of().parseHex(DATAGRAM))?.rates shouldBe emptyList()
         }
+
+        @OptIn(ExperimentalSerializationApi::class)
+        test("an older build reads an announcement with the age of the store's response, and its own are read without") {
+            val bytes = announcement.copy(storeResponseAgeMillis = 250).encode()
+            val older = Cbor {
+                preferCborLabelsOverNames = true
+                ignoreUnknownKeys = true
+            }.decodeFromByteArray<OlderAnnouncement>(bytes)
+            older.sequence shouldBe announcement.sequence
+            older.peers shouldBe announcement.peers
+            Announcement.decodeOrNull(bytes)?.store?.responseAge shouldBe 250.milliseconds
+            Announcement.decodeOrNull(HexFormat.of().parseHex(DATAGRAM))?.store?.responseAge shouldBe null
+        }
     })
