--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
@@ -42,6 +42,8 @@
     val responseMemory: MemoryBudget.Reservation,
     val deliverStream: suspend (ExchangeResult.Large) -> Boolean,
 ) {
+    private var cachedFingerprint: Long? = null
+
     /** Number of targets to which the request was sent. */
     var sendCount = 0
 
@@ -68,6 +70,10 @@
 
     /** Whether the caller disconnected, so that the request must not be sent to another target. */
     var hasCallerLeft = false
+
+    /** Returns the fingerprint of the request, see [TargetRequest.fingerprint]. */
+    fun fingerprint(headerNames: RequestHeaderNames): Long =
+        cachedFingerprint ?: target.fingerprint(headerNames).also { cachedFingerprint = it }
 }
 
 /**
@@ -279,6 +285,8 @@
             "target-broken",
             "id" to request.target.id,
             "target" to send.target.key.name,
+            "started_at" to send.target.key.startedAtMillis,
+            "fingerprint" to request.fingerprint(headerNames).toULong().toString(FINGERPRINT_RADIX),
             "cause" to cause,
         )
     }
@@ -336,6 +344,7 @@
         const val SERVICE_UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
         const val CONNECT_FAILURE_LIMIT = 3
+        const val FINGERPRINT_RADIX = 16
 
         /**
          * Non-idempotent requests use no connection that was idle for longer: a target may have dropped it in the
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
@@ -49,6 +49,7 @@
     requestId = "X-Id",
     deadlineMillis = "X-Deadline",
     affinityKey = "X-Key",
+    caller = "X-Caller",
     notExecuted = "X-Not-Run",
     expectedTarget = "X-Target",
     targetLoad = "X-Load",
