--- a/core/src/main/kotlin/org/anvilshed/core/fleet/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/fleet/TargetDirectory.kt
@@ -31,7 +31,7 @@
     public val lapsingNames: Set<String>
         get() = lapsing.keys.toSet()
 
-    /** Returns how long after [now] the target [name] is kept without an entry, or `null` if it is not kept that way. */
+    /** Returns how long after [now] the target [name] is kept without an entry, or `null` if it is not. */
     public fun keptForOrNull(name: String, now: MonotonicTime): Duration? = lapsing[name]?.let { it.until - now }
 
     /**
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayLeavingTargetTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayLeavingTargetTest.kt
@@ -59,7 +59,7 @@
             }
         }
 
-        test("a VM that cannot reach the store sends no requests after the bound to a target that left, as a peer knows") {
+        test("a VM that cannot reach the store sends none after the bound to a target that left by a peer's copy") {
             val peerPort = GatewayTestbed.freePort()
             GatewayTestbed(host = "127.0.0.41", peerPort = peerPort).use { first ->
                 first.config(1)
