Suspend requests that crash the targets that run them

Cause: each send was decided for itself. An attempt has an identifier of its own, so no VM knew that a request had been at a target that ended, and the retry after a broken send took the next target at once. The log with fingerprints shows one request at 34 targets, and only four others at more than one. Class: a count that is a sum over VMs and attempts, kept by neither.

Change: CrashSuspicions counts the targets that ended under one request, by a fingerprint of method, host, path, caller, object and body. Evidence is a connection that ended without a response and a refused connection after it; the VM opens one to find out. Announcements carry the observations (label 14, at most 24). A response to the request, at any VM, clears it, and targets that end at one moment count once, so that witnesses are not suspended. From the second crash on it is refused with 502 and no Retry-After for 30 to 60 s, and after a crash it is not sent again at once. Memory: 256 requests of 8 crashes; a request can only be suspended by targets that end under its own fingerprint.

CrashSuspicionsTest has the sum over 7, 37 and 300 VMs with restarts.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -14,6 +14,7 @@
 import org.anvilshed.core.ServiceName
 import org.anvilshed.core.SocketAddress
 import org.anvilshed.core.ZoneName
+import org.anvilshed.core.fleet.CrashSuspicions
 import org.anvilshed.core.fleet.RegisteredTarget
 import org.anvilshed.core.fleet.StoreContact
 import org.anvilshed.core.fleet.TargetDirectory
@@ -23,6 +24,7 @@
 import org.anvilshed.core.placement.ShiftChangeLimiter
 import org.anvilshed.gateway.callers.CallerRequest
 import org.anvilshed.gateway.callers.CallerServer
+import org.anvilshed.gateway.peers.AnnouncedCrash
 import org.anvilshed.gateway.peers.AnnouncedLoad
 import org.anvilshed.gateway.peers.AnnouncedRate
 import org.anvilshed.gateway.peers.Announcement
@@ -36,6 +38,7 @@
 import org.anvilshed.gateway.requests.CallerRequestHandler
 import org.anvilshed.gateway.requests.RequestForwarder
 import org.anvilshed.gateway.requests.ServiceQueue
+import org.anvilshed.gateway.requests.fingerprintText
 import org.anvilshed.gateway.store.ObjectStore
 import org.anvilshed.gateway.targets.TargetConnectionPool
 import kotlin.math.roundToInt
@@ -62,6 +65,7 @@
     private val placement: () -> PlacementSettings = { this.settings.placement }
     private val state = IngressState()
     private val directory = TargetDirectory()
+    private val crashes = CrashSuspicions(settings.name.value)
     private val contact = StoreContact { this.settings.reportPeriod }
     private val entryVms = KnownEntryVms(settings.name)
     private val shift = ShiftChangeLimiter({ placement().maximumShift }, settings.region)
@@ -94,7 +98,11 @@
         ),
         log,
         clock,
-        onOpened = { target, duration -> roundTripTimes.observe(target.zone, duration) },
+        onRefused = ::recordRefusedConnection,
+        onOpened = { target, duration ->
+            crashes.recordAcceptedConnection(target.key)
+            roundTripTimes.observe(target.zone, duration)
+        },
     )
     private val forwarder = RequestForwarder(
         queues = { serviceQueues[it] },
@@ -104,6 +112,7 @@
         metrics = metrics,
         clock = clock,
         eventLoopMonitor = eventLoopMonitor,
+        crashes = crashes,
         members = { participantCount },
         connectionLimit = ::connectionLimit,
         connectTimeout = { roundTripTimes.estimate(it.zone) * CONNECT_ROUND_TRIPS + MINIMUM_CONNECT_TIME },
@@ -238,11 +247,13 @@
         isAnnouncedLoadStale = true
         feeds.checkEra()
         refreshPolicies(now)
+        crashes.expire(now)
         connections.closeUnused(directory.targets.mapTo(HashSet()) { it.key }, now)
         callers.closeStalled(now)
         metrics.setGauges(
             queuedRequests = serviceQueues.values.sumOf { it.pool.queueLength },
             rateLimitedTargets = serviceQueues.values.sumOf { it.pool.limitedTargetCount },
+            suspendedRequests = crashes.suspendedCount(now),
             liveEntryVms = entryVms.live(now).size + 1,
         )
     }
@@ -255,8 +266,27 @@
         announcements.announceNow(isReady, feeds.announced(), announcedLoad(now), now)
     }
 
-    private fun announcedLoad(now: MonotonicTime) = AnnouncedLoad(occupiedSlots()) {
-        serviceQueues.values.flatMap { it.pool.rates(now).entries }.map { AnnouncedRate.of(it.key, it.value, now) }
+    private fun announcedLoad(now: MonotonicTime) = AnnouncedLoad(
+        occupiedSlots = occupiedSlots(),
+        rates = {
+            serviceQueues.values.flatMap { it.pool.rates(now).entries }.map { AnnouncedRate.of(it.key, it.value, now) }
+        },
+        crashes = { crashes.announced(now).map { AnnouncedCrash.of(it, now) } },
+    )
+
+    private fun recordRefusedConnection(target: RegisteredTarget) {
+        val now = clock()
+        val observed = crashes.recordRefusedConnection(target.key, now)
+        for (crash in observed) {
+            log.request(
+                "target-ended-under-request",
+                "target" to target.key.name,
+                "started_at" to target.key.startedAtMillis,
+                "fingerprint" to fingerprintText(crash.fingerprint),
+                "suspended" to crashes.isSuspended(crash.fingerprint, now),
+            )
+        }
+        if (observed.any { crashes.isSuspended(it.fingerprint, now) }) announceNow()
     }
 
     private fun occupiedSlots(): Map<Int, Int> {
@@ -274,6 +304,7 @@
         val change = announcements.receive(announcement, now)
         if (change == PeerChange.IGNORED) return
         isAnnouncedLoadStale = true
+        for (crash in announcement.crashes) crashes.record(crash.toObservation(now), now)
         announcement.store.responseAge?.let { contact.recordResponseToPeer(now - it) }
         if (change == PeerChange.APPEARED) refreshPolicies(now)
         entryVms.live(now).firstOrNull { it.name.value == announcement.name }?.let(catchUp::fetchNewer)
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/GatewayMetrics.kt
@@ -33,6 +33,8 @@
         .help("Requests that wait for a slot.").register(registry)
     private val limitedTargets = Gauge.builder().name("anvilshed_rate_limited_targets")
         .help("Targets that state a limit on the rate of requests.").register(registry)
+    private val suspended = Gauge.builder().name("anvilshed_suspended_requests")
+        .help("Requests that are refused because targets ended while they had them.").register(registry)
     private val liveVms = Gauge.builder().name("anvilshed_live_entry_vms")
         .help("Entry VMs that this one hears, itself included.").register(registry)
 
@@ -55,9 +57,10 @@
     public fun observeLatency(waited: Duration): Unit = latency.observe(waited.toDouble(DurationUnit.SECONDS))
 
     /** Sets the gauges. */
-    public fun setGauges(queuedRequests: Int, rateLimitedTargets: Int, liveEntryVms: Int) {
+    public fun setGauges(queuedRequests: Int, rateLimitedTargets: Int, suspendedRequests: Int, liveEntryVms: Int) {
         queued.set(queuedRequests.toDouble())
         limitedTargets.set(rateLimitedTargets.toDouble())
+        suspended.set(suspendedRequests.toDouble())
         liveVms.set(liveEntryVms.toDouble())
     }
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/WarmUp.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/WarmUp.kt
@@ -16,6 +16,7 @@
 import org.anvilshed.core.ServiceName
 import org.anvilshed.core.SocketAddress
 import org.anvilshed.core.ZoneName
+import org.anvilshed.core.fleet.CrashSuspicions
 import org.anvilshed.core.fleet.RegisteredTarget
 import org.anvilshed.core.fleet.TargetKey
 import org.anvilshed.core.ingress.CallerLimits
@@ -115,6 +116,7 @@
             clock = clock,
             // With a clock that stands still, requests never wait for socket reads; no caller here disconnects.
             eventLoopMonitor = EventLoopMonitor { MonotonicTime(0) },
+            crashes = CrashSuspicions("warm-up"),
             members = { 1 },
             connectionLimit = { CONCURRENCY },
             connectTimeout = { 1.seconds },
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/AnnouncementExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/AnnouncementExchange.kt
@@ -12,8 +12,13 @@
  *
  * @property occupiedSlots slots that this VM's requests in flight occupy, as in [Announcement.occupiedSlots].
  * @property rates returns what this VM knows about targets that state a rate limit.
+ * @property crashes returns what this VM knows about requests that may crash targets.
  */
-internal class AnnouncedLoad(val occupiedSlots: Map<Int, Int>, val rates: () -> List<AnnouncedRate>)
+internal class AnnouncedLoad(
+    val occupiedSlots: Map<Int, Int>,
+    val rates: () -> List<AnnouncedRate>,
+    val crashes: () -> List<AnnouncedCrash>,
+)
 
 /**
  * Sends the announcements of this VM to the others when they are due, and applies the announcements of others.
@@ -112,6 +117,7 @@
             storeResponseAgeMillis = store.responseAge?.inWholeMilliseconds ?: AnnouncedStore.NO_RESPONSE,
             occupiedSlots = load.occupiedSlots,
             rates = load.rates(),
+            crashes = load.crashes(),
             peers = live.map { it.control.host }.shuffled().take(ANNOUNCED_PEERS),
         )
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestFingerprint.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestFingerprint.kt
@@ -25,3 +25,8 @@
     body?.let { digest.update(it.bytes) }
     return ByteBuffer.wrap(digest.digest()).getLong()
 }
+
+/** Returns [fingerprint] as it stands in logs. */
+internal fun fingerprintText(fingerprint: Long): String = fingerprint.toULong().toString(FINGERPRINT_RADIX)
+
+private const val FINGERPRINT_RADIX = 16
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.anvilshed.core.MonotonicTime
 import org.anvilshed.core.ServiceName
+import org.anvilshed.core.fleet.CrashSuspicions
 import org.anvilshed.core.fleet.RegisteredTarget
 import org.anvilshed.core.placement.Placement
 import org.anvilshed.core.placement.PlacementRequest
@@ -80,6 +81,7 @@
  * Sends requests to targets, and retries a failed request at another target where that is safe and the retry budget of
  * the service allows it. Confined to the event loop.
  *
+ * @param crashes finds requests that crash targets, which are refused.
  * @param members number of VMs that share the retry budgets.
  * @param connectionLimit most connections of this VM to one target of a service.
  * @param connectTimeout time limit for opening a connection to a target.
@@ -92,6 +94,7 @@
     private val metrics: GatewayMetrics,
     private val clock: MonotonicClock,
     private val eventLoopMonitor: EventLoopMonitor,
+    private val crashes: CrashSuspicions,
     private val members: () -> Int,
     private val connectionLimit: (ServiceName) -> Int,
     private val connectTimeout: (RegisteredTarget) -> Duration,
@@ -104,6 +107,7 @@
         var lastFailure: Reply? = null
         var connectFailures = 0
         while (true) {
+            if (isSuspended(request)) return crashesTargets()
             val placement = place(queue, request)
             if (placement is Placement.Refuse) return lastFailure ?: refuse(placement)
             val send = placement as Placement.Send
@@ -126,6 +130,7 @@
     private fun tryRetry(queue: ServiceQueue, request: ForwardedRequest, reason: String): Boolean {
         if (request.hasCallerLeft || request.sendCount >= request.maximumAttempts) return false
         if (request.mayHaveRun && !request.placement.workloadClass.idempotent) return false
+        if (reason == TARGET_BROKEN && !crashes.mayRetry(request.fingerprint(headerNames))) return false
         if (!queue.retries.tryRetry(members(), clock())) {
             metrics.countRetry("budget-exhausted")
             return false
@@ -135,6 +140,12 @@
         return true
     }
 
+    private fun isSuspended(request: ForwardedRequest): Boolean =
+        !crashes.isEmpty && crashes.isSuspended(request.fingerprint(headerNames), clock())
+
+    /** An earlier attempt of the request may have run, so the reply promises nothing and invites to no repetition. */
+    private fun crashesTargets(): Reply = Reply.Failed(BAD_GATEWAY, "crashes-targets")
+
     private fun exclude(request: ForwardedRequest, send: Placement.Send) {
         request.placement = request.placement.copy(excluded = request.placement.excluded + send.target.key)
     }
@@ -178,6 +189,10 @@
                 connections.release(send.target.key, connection)
                 return AttemptResult.NotSent
             }
+            if (isSuspended(request)) {
+                connections.release(send.target.key, connection)
+                return AttemptResult.Final(crashesTargets())
+            }
             val (result, exchangeOutcome) = exchange(queue, request, send, connection)
             outcome = exchangeOutcome
             return result
@@ -211,6 +226,7 @@
         )
         try {
             val result = awaitResult(queue, request, send, exchange)
+            recordEvidence(request, send, result)
             val attempt = if (result == null) targetSilent() else attemptResult(request, send, result, mayHaveRunBefore)
             // A connection with an unread rest of a response can't be used again; closing it ends the target's work.
             releaseOrClose(send, exchange, connection)
@@ -224,6 +240,18 @@
         }
     }
 
+    /** Records what [result] says about whether the request crashes targets. */
+    private fun recordEvidence(request: ForwardedRequest, send: Placement.Send, result: ExchangeResult?) {
+        val now = clock()
+        if (result is ExchangeResult.Broken && !result.hasResponded) {
+            val sentAt = request.sentAt ?: now
+            crashes.recordConnectionEnded(request.fingerprint(headerNames), send.target.key, sentAt, now)
+            connections.verify(send.target, connectTimeout(send.target))
+        } else if (!crashes.isEmpty && (result is ExchangeResult.Complete || result is ExchangeResult.Large)) {
+            crashes.recordResponse(request.fingerprint(headerNames), now)
+        }
+    }
+
     private fun recordRateLimit(
         queue: ServiceQueue,
         request: ForwardedRequest,
@@ -275,7 +303,7 @@
 
         is ExchangeResult.Broken -> {
             logBroken(request, send, result.cause)
-            AttemptResult.Retryable(Reply.Failed(BAD_GATEWAY, "target-broken"), "target-broken") to TargetOutcome.Broken
+            AttemptResult.Retryable(Reply.Failed(BAD_GATEWAY, TARGET_BROKEN), TARGET_BROKEN) to TargetOutcome.Broken
         }
     }
 
@@ -286,17 +314,14 @@
             "id" to request.target.id,
             "target" to send.target.key.name,
             "started_at" to send.target.key.startedAtMillis,
-            "fingerprint" to request.fingerprint(headerNames).toULong().toString(FINGERPRINT_RADIX),
+            "fingerprint" to fingerprintText(request.fingerprint(headerNames)),
             "cause" to cause,
         )
     }
 
     /** Reply after a target did not run [request], which may still have run at an earlier target. */
     private fun replyAfterNotRun(request: ForwardedRequest): Reply = if (request.mayHaveRun) {
-        Reply.Failed(
-            BAD_GATEWAY,
-            "target-broken",
-        )
+        Reply.Failed(BAD_GATEWAY, TARGET_BROKEN)
     } else {
         Reply.NotRun(SERVICE_UNAVAILABLE, "target-full", TARGET_FULL_RETRY_AFTER)
     }
@@ -344,7 +369,7 @@
         const val SERVICE_UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
         const val CONNECT_FAILURE_LIMIT = 3
-        const val FINGERPRINT_RADIX = 16
+        const val TARGET_BROKEN = "target-broken"
 
         /**
          * Non-idempotent requests use no connection that was idle for longer: a target may have dropped it in the
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
@@ -1,5 +1,7 @@
 package org.anvilshed.gateway.targets
 
+import io.netty.channel.ConnectTimeoutException
+import io.vertx.core.Future
 import io.vertx.core.VertxException
 import io.vertx.core.http.HttpClientAgent
 import io.vertx.core.http.HttpClientConnection
@@ -12,6 +14,7 @@
 import org.anvilshed.gateway.DecisionLog
 import org.anvilshed.gateway.MonotonicClock
 import java.io.IOException
+import java.net.ConnectException
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -40,16 +43,19 @@
 /**
  * Pool of connections to all targets. Confined to the event loop.
  *
+ * @param onRefused called with each target that refused a connection.
  * @param onOpened called after each opened connection with the target and the time that opening took.
  */
 internal class TargetConnectionPool(
     private val client: HttpClientAgent,
     private val log: DecisionLog,
     private val clock: MonotonicClock,
+    private val onRefused: (RegisteredTarget) -> Unit = {},
     private val onOpened: (RegisteredTarget, Duration) -> Unit,
 ) {
     private val idleConnections = HashMap<TargetKey, ArrayDeque<TargetConnection>>()
     private val openCounts = HashMap<TargetKey, Int>()
+    private val beingVerified = HashSet<TargetKey>()
 
     /**
      * Returns a pooled connection to [target] that was idle for less than [maximumIdleTime], or a new connection.
@@ -105,17 +111,44 @@
         return null
     }
 
+    /**
+     * Finds out whether [target] still accepts connections: opens one, adds it to the pool, and reports the outcome to
+     * [onOpened] or [onRefused].
+     */
+    fun verify(target: RegisteredTarget, timeout: Duration) {
+        if (!beingVerified.add(target.key)) return
+        openCounts.merge(target.key, 1, Int::plus)
+        val startedAt = clock()
+        connect(target, timeout).onComplete { opened ->
+            beingVerified.remove(target.key)
+            if (opened.succeeded()) {
+                release(target.key, register(target, opened.result(), startedAt))
+            } else {
+                decrementOpenCount(target.key)
+                reportFailure(target, opened.cause())
+            }
+        }
+    }
+
+    private fun connect(target: RegisteredTarget, timeout: Duration): Future<HttpClientConnection> = client.connect(
+        HttpConnectOptions().setHost(target.address.host).setPort(target.address.port)
+            .setConnectTimeout(timeout.inWholeMilliseconds),
+    )
+
+    private fun reportFailure(target: RegisteredTarget, cause: Throwable) {
+        log.request("target-connect-failed", "target" to target.key.name, "cause" to cause)
+        if (cause is ConnectException && cause !is ConnectTimeoutException) onRefused(target)
+    }
+
     private suspend fun openOrNull(target: RegisteredTarget, timeout: Duration): TargetConnection? {
         openCounts.merge(target.key, 1, Int::plus)
         val startedAt = clock()
-        val options = HttpConnectOptions().setHost(target.address.host).setPort(target.address.port)
-            .setConnectTimeout(timeout.inWholeMilliseconds)
-        val opening = client.connect(options)
+        val opening = connect(target, timeout)
         var connection: HttpClientConnection? = null
         try {
             connection = withTimeoutOrNull(timeout) { opening.coAwait() }
         } catch (failure: IOException) {
-            log.request("target-connect-failed", "target" to target.key.name, "cause" to failure)
+            reportFailure(target, failure)
         } catch (failure: VertxException) {
             log.request("target-connect-failed", "target" to target.key.name, "cause" to failure)
         } finally {
@@ -125,7 +158,14 @@
                 opening.onSuccess { it.close() }
             }
         }
-        if (connection == null) return null
+        return connection?.let { register(target, it, startedAt) }
+    }
+
+    private fun register(
+        target: RegisteredTarget,
+        connection: HttpClientConnection,
+        startedAt: MonotonicTime,
+    ): TargetConnection {
         onOpened(target, clock() - startedAt)
         val result = TargetConnection(connection)
         connection.closeHandler {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
@@ -49,8 +49,9 @@
      * No usable response; the request may have run.
      *
      * @property cause what failed, for the log.
+     * @property hasResponded whether the target began to respond.
      */
-    class Broken(val cause: String) : ExchangeResult
+    class Broken(val cause: String, val hasResponded: Boolean) : ExchangeResult
 }
 
 /**
@@ -109,6 +110,7 @@
 
     private fun receive(response: HttpClientResponse) {
         if (response.getHeader(headerNames.requestId) != request.id) {
+            headArrived.complete(Unit)
             broken("response to another request")
             connection.close()
             return
@@ -155,8 +157,8 @@
     }
 
     private fun broken(cause: String) {
-        headArrived.complete(Unit)
-        result.complete(ExchangeResult.Broken(cause))
+        val hasResponded = !headArrived.complete(Unit)
+        result.complete(ExchangeResult.Broken(cause, hasResponded))
     }
 
     private fun keepsConnectionOpen(response: HttpClientResponse): Boolean =
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/peers/AnnouncementOuterNamesTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/peers/AnnouncementOuterNamesTest.kt
@@ -86,7 +86,9 @@
         }
 
         @OptIn(ExperimentalSerializationApi::class)
-        test("an older build reads an announcement with the age of the store's response, and its own are read without") {
+        test(
+            "an older build reads an announcement with the age of the store's response, and its own are read without",
+        ) {
             val bytes = announcement.copy(storeResponseAgeMillis = 250).encode()
             val older = Cbor {
                 preferCborLabelsOverNames = true
@@ -97,4 +99,18 @@
             Announcement.decodeOrNull(bytes)?.store?.responseAge shouldBe 250.milliseconds
             Announcement.decodeOrNull(HexFormat.of().parseHex(DATAGRAM))?.store?.responseAge shouldBe null
         }
+
+        @OptIn(ExperimentalSerializationApi::class)
+        test("an older build reads an announcement with crashes, and its own are read without them") {
+            val crashes = listOf(AnnouncedCrash(1L shl 60, 5, 200, 50), AnnouncedCrash(2, null, 10, 0))
+            val bytes = announcement.copy(crashes = crashes).encode()
+            val older = Cbor {
+                preferCborLabelsOverNames = true
+                ignoreUnknownKeys = true
+            }.decodeFromByteArray<OlderAnnouncement>(bytes)
+            older.sequence shouldBe announcement.sequence
+            older.peers shouldBe announcement.peers
+            Announcement.decodeOrNull(bytes)?.crashes shouldBe crashes
+            Announcement.decodeOrNull(HexFormat.of().parseHex(DATAGRAM))?.crashes shouldBe emptyList()
+        }
     })
