Do not suspend a request for crashes that another request explains

Cause: the count of crashes did not consider who else was there. Change: a crash at which another request was present that more targets ended under counts for that request alone.

Evidence: the new test of CrashSuspicionsTest failed before (suspended, expected not) and passes now.

--- a/core/src/main/kotlin/org/anvilshed/core/fleet/CrashSuspicions.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/fleet/CrashSuspicions.kt
@@ -24,8 +24,8 @@
  * Finds requests that crash the targets that run them, from what all VMs observe, and suspends these requests.
  *
  * A request is suspected if the connection ended while a target had it and the target then refused connections, so a
- * broken connection to a target that goes on is no evidence. Requests that were at the same targets by chance get
- * responses elsewhere, which clear them. After [CRASH_LIMIT] crashes the request is suspended for
+ * broken connection to a target that goes on is no evidence. Requests that were at the same targets by chance are
+ * cleared by responses elsewhere, or by a request that was there at more crashes. After [CRASH_LIMIT] crashes the request is suspended for
  * [SHORTEST_SUSPENSION], or up to twice as long; the VMs end the suspension one after the other, and a single further
  * crash renews it. Not thread-safe.
  *
@@ -40,21 +40,23 @@
         val latestCrash: MonotonicTime?
             get() = crashes.values.maxOfOrNull { it.at }
 
+        val crashCount: Int
+            get() = countCrashes(crashes.values)
+
         /**
-         * Number of crashes since the request was cleared, each by an attempt that was sent after the crash before it.
-         * Targets that end at one moment while they have the request have another cause in common.
+         * Returns the number of [crashes] since the request was cleared, each by an attempt that was sent after the
+         * crash before it. Targets that end at one moment while they have the request have another cause in common.
          */
-        val crashCount: Int
-            get() {
-                var count = 0
-                var previous = clearedAt
-                for (crash in crashes.values.sortedBy { it.at }) {
-                    if (previous != null && crash.sentAt < previous) continue
-                    previous = crash.at
-                    count++
-                }
-                return count
+        fun countCrashes(crashes: Collection<CrashObservation>): Int {
+            var count = 0
+            var previous = clearedAt
+            for (crash in crashes.sortedBy { it.at }) {
+                if (previous != null && crash.sentAt < previous) continue
+                previous = crash.at
+                count++
             }
+            return count
+        }
     }
 
     private class PossibleCrash(val target: TargetKey, val observation: CrashObservation)
@@ -115,7 +117,17 @@
     public fun isSuspended(fingerprint: Long, now: MonotonicTime): Boolean {
         val history = histories[fingerprint] ?: return false
         val latestCrash = history.latestCrash ?: return false
-        return history.crashCount >= CRASH_LIMIT && now < latestCrash + suspension(fingerprint)
+        return now < latestCrash + suspension(fingerprint) && unexplainedCrashes(history) >= CRASH_LIMIT
+    }
+
+    /** Returns the number of crashes at which no request was present that more targets ended under. */
+    private fun unexplainedCrashes(history: History): Int {
+        val count = history.crashCount
+        if (count < CRASH_LIMIT) return count
+        val stronger = histories.values.filter { it !== history && it.crashCount > count }
+        return history.countCrashes(
+            history.crashes.values.filter { crash -> stronger.none { crash.target in it.crashes } },
+        )
     }
 
     /** Returns whether the request may go to another target right after one that may have ended under it. */
--- a/core/src/test/kotlin/org/anvilshed/core/fleet/CrashSuspicionsTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/fleet/CrashSuspicionsTest.kt
@@ -84,6 +84,24 @@
             crashes.isSuspended(HARMLESS, start + 3.seconds) shouldBe false
         }
 
+        test("a request that was sent again to the next target that another one crashed is not suspended") {
+            val crashes = CrashSuspicions("vm")
+            for (number in 1..3) crashes.crash(DEADLY, target(number), start + number.seconds)
+            for (number in 1..2) {
+                val at = start + number.seconds
+                crashes.record(CrashObservation(HARMLESS, target(number).hashCode(), at - WORK, at), at)
+            }
+            crashes.isSuspended(DEADLY, start + 4.seconds) shouldBe true
+            crashes.isSuspended(HARMLESS, start + 4.seconds) shouldBe false
+        }
+
+        test("a second request that crashes targets of its own is suspended as well") {
+            val crashes = CrashSuspicions("vm")
+            for (number in 1..3) crashes.crash(DEADLY, target(number), start + number.seconds)
+            for (number in 4..5) crashes.crash(HARMLESS, target(number), start + number.seconds)
+            crashes.isSuspended(HARMLESS, start + 5.seconds) shouldBe true
+        }
+
         test("two lifetimes of one target count as two, and one crash that several VMs report counts once") {
             val crashes = CrashSuspicions("vm")
             crashes.crash(DEADLY, TargetKey("target", 1), start)
