Never send two requests with one identifier on one connection to a target

A caller that used an identifier again got 'not run' (503) for a request that the target then ran, after the target had written its earlier refusal once more on the kept connection.

Cause: the identifier is all that ties a response to its request, and both were the same. Change: a pooled connection remembers its last 32 identifiers and is not reused for a request that has one of them.

Evidence: the new test of GatewayFaultyTargetTest failed before (503, expected another status) and passes now.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
@@ -178,7 +178,9 @@
             val idempotent = request.placement.workloadClass.idempotent
             val maximumIdleTime = if (idempotent) Duration.INFINITE else NON_IDEMPOTENT_IDLE_LIMIT
             val limit = connectionLimit(request.service)
-            val connection = connections.takeOrNull(send.target, maximumIdleTime, limit, connectTimeout(send.target))
+            val timeout = connectTimeout(send.target)
+            val connection =
+                connections.takeOrNull(send.target, request.target.id, maximumIdleTime, limit, timeout)
             if (connection == null) {
                 outcome = TargetOutcome.Unreachable
                 log.request("target-unreachable", "id" to request.target.id, "target" to send.target.key.name)
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
@@ -29,6 +29,17 @@
     /** Whether neither side has closed the connection. */
     var isOpen: Boolean = true
 
+    private val requestIds = LinkedHashSet<String>()
+
+    /** Records that the request [id] is sent on the connection. */
+    fun recordRequest(id: String) {
+        requestIds.add(id)
+        if (requestIds.size > REQUEST_ID_LIMIT) requestIds.remove(requestIds.first())
+    }
+
+    /** Returns whether a request [id] was sent on the connection recently, so that its response may arrive again. */
+    fun hasCarried(id: String): Boolean = id in requestIds
+
     fun close() {
         isOpen = false
         connection.close()
@@ -37,6 +48,9 @@
     companion object {
         /** Used until the target states its keep-alive timeout; the default timeouts of targets are longer. */
         val DEFAULT_IDLE_LIMIT = 4.seconds
+
+        /** A target that writes an earlier response once more does so within a few requests. */
+        private const val REQUEST_ID_LIMIT = 32
     }
 }
 
@@ -58,18 +72,20 @@
     private val beingVerified = HashSet<TargetKey>()
 
     /**
-     * Returns a pooled connection to [target] that was idle for less than [maximumIdleTime], or a new connection.
+     * Returns a pooled connection to [target] that was idle for less than [maximumIdleTime] and carried no request with
+     * the identifier [requestId], or a new connection.
      *
      * If [limit] connections to the target are open already, one that was idle for longer is closed first. Returns
      * `null` if there is no such connection, or if no connection can be opened within [timeout].
      */
     suspend fun takeOrNull(
         target: RegisteredTarget,
+        requestId: String,
         maximumIdleTime: Duration,
         limit: Int,
         timeout: Duration,
     ): TargetConnection? {
-        takeIdleOrNull(target.key, maximumIdleTime)?.let { return it }
+        takeIdleOrNull(target.key, requestId, maximumIdleTime)?.let { return it }
         if ((openCounts[target.key] ?: 0) >= limit) {
             val idle = idleConnections[target.key]?.removeFirstOrNull() ?: return null
             idle.close()
@@ -94,14 +110,14 @@
         idleConnections.values.removeIf { it.isEmpty() }
     }
 
-    private fun takeIdleOrNull(key: TargetKey, maximumIdleTime: Duration): TargetConnection? {
+    private fun takeIdleOrNull(key: TargetKey, requestId: String, maximumIdleTime: Duration): TargetConnection? {
         val connections = idleConnections[key] ?: return null
         val now = clock()
         // The most recently used connection is the least likely to have been closed by the target.
         while (connections.isNotEmpty()) {
             val candidate = connections.removeLast()
             val age = now - candidate.idleSince
-            if (candidate.isOpen && age < candidate.idleLimit) {
+            if (candidate.isOpen && age < candidate.idleLimit && !candidate.hasCarried(requestId)) {
                 if (age < maximumIdleTime) return candidate
                 connections.addLast(candidate)
                 return null
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
@@ -79,6 +79,7 @@
 
     /** Sends the request. */
     fun send() {
+        connection.recordRequest(request.id)
         val options = RequestOptions().setMethod(request.method).setURI(request.uri).setHeaders(request.headers)
         connection.connection.exceptionHandler { broken("connection closed") }
         connection.connection.request(options).onComplete { created ->
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayFaultyTargetTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayFaultyTargetTest.kt
@@ -56,6 +56,15 @@
             }
         }
 
+        // Guards against the identifier as the only mark of a response, as callers may use one again.
+        test("a refusal that is written again does not count for a later attempt with the same identifier") {
+            val faulty = RepeatingTarget { refusal(it.id) }
+            withTargets(faulty::respond) { testbed, _ ->
+                testbed.call("/once/", id = "same", method = "POST", body = "x").status shouldBe 503
+                testbed.call("/once/", id = "same", method = "POST", body = "x").status shouldNotBe 503
+            }
+        }
+
         test("a response whose head ends early is no success, wherever it ends") {
             val head = "HTTP/1.1 200 OK\r\nX-Id: id-1\r\nX-Stamp: stamp\r\nContent-Length: 10\r\nX-Last: 1\r\n\r\n"
             val chunked = head.replace("Content-Length: 10", "Transfer-Encoding: chunked")
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/TargetConnectionPoolTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/TargetConnectionPoolTest.kt
@@ -62,11 +62,11 @@
             val taken = scope.async {
                 val pool = newPool()
                 val cancelled = launch(start = CoroutineStart.UNDISPATCHED) {
-                    pool.takeOrNull(target(), INFINITE, limit = 1, 5.seconds)
+                    pool.takeOrNull(target(), "id-1", INFINITE, limit = 1, 5.seconds)
                 }
                 cancelled.cancel()
                 cancelled.join()
-                pool.takeOrNull(target(), INFINITE, limit = 1, 5.seconds)
+                pool.takeOrNull(target(), "id-1", INFINITE, limit = 1, 5.seconds)
             }
             taken.await().shouldNotBeNull()
         }
@@ -75,10 +75,10 @@
         test("a connection that was idle for too long is replaced, also at the limit of the target") {
             val isReplaced = scope.async {
                 val pool = newPool()
-                val first = pool.takeOrNull(target(), INFINITE, limit = 1, 5.seconds).shouldNotBeNull()
+                val first = pool.takeOrNull(target(), "id-1", INFINITE, limit = 1, 5.seconds).shouldNotBeNull()
                 pool.release(target().key, first)
                 delay(50.milliseconds)
-                val second = pool.takeOrNull(target(), 10.milliseconds, limit = 1, 5.seconds).shouldNotBeNull()
+                val second = pool.takeOrNull(target(), "id-1", 10.milliseconds, limit = 1, 5.seconds).shouldNotBeNull()
                 second !== first && !first.isOpen
             }
             isReplaced.await() shouldBe true
@@ -89,7 +89,7 @@
             val reports = scope.async {
                 val pool = newPool()
                 repeat(3) {
-                    val connection = pool.takeOrNull(target(), INFINITE, limit = 1, 5.seconds).shouldNotBeNull()
+                    val connection = pool.takeOrNull(target(), "id-1", INFINITE, limit = 1, 5.seconds).shouldNotBeNull()
                     pool.release(target().key, connection)
                 }
                 openingTimes.size
