Fetch a missing change from the peer heard last, and from the next one if it does not respond

Callers of a VM whose watch is stalled were sent by outdated targets, configs and evacuations for 2.9 s and more if the peer that announced a change first had frozen or died since: announcement 400 ms, delay 500 ms, a fetch that waits for 1 s, and all of it again with the next peer (2.5 s allowed).

Change: one catch-up of a kind knows all peers that announced newer objects, and asks them in turn, the one heard last first, for 500 ms each.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -135,7 +135,7 @@
         )
     private val announcements =
         AnnouncementExchange({ this.settings }, entryVms, System.currentTimeMillis(), log, socket::send)
-    private val catchUp = FeedCatchUp(scope, feeds.byKind, snapshots, { feeds.configVersion }, log)
+    private val catchUp = FeedCatchUp(scope, feeds.byKind, snapshots::fetchOrNull, { feeds.configVersion }, log)
     private val registration = EntryVmRegistration(settings, store, entryVms, announcements, log)
 
     /** Whether callers may be sent to this VM: a config and targets were received, and the VM is not shutting down. */
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/FeedCatchUp.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/FeedCatchUp.kt
@@ -3,9 +3,12 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.anvilshed.core.SocketAddress
+import org.anvilshed.core.VmName
 import org.anvilshed.gateway.DecisionLog
 import org.anvilshed.gateway.store.StoreFeed
 import org.anvilshed.gateway.store.StoreKind
+import org.anvilshed.gateway.store.StoreListing
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
@@ -15,35 +18,45 @@
  * peers announce are higher than those of this VM. After the store was restored from an older copy, a peer may know a
  * newer config than the store, which only its version shows.
  *
+ * @param fetchOrNull returns the objects of a kind that the VM at an address has, or `null` without a response in time.
  * @param configVersion returns the version of the config in force, or [AnnouncedStore.NO_CONFIG].
  */
 internal class FeedCatchUp(
     private val scope: CoroutineScope,
     private val feeds: Map<StoreKind, StoreFeed>,
-    private val snapshots: PeerSnapshots,
+    private val fetchOrNull: suspend (SocketAddress, StoreKind) -> StoreListing?,
     private val configVersion: () -> Long,
     private val log: DecisionLog,
 ) {
-    private val kindsInProgress = HashSet<StoreKind>()
+    /** Peers that announced newer objects of each kind since its catch-up began; the latest one is the last. */
+    private val newerPeers = HashMap<StoreKind, LinkedHashMap<VmName, PeerVm>>()
 
     /** Starts to fetch the objects of each kind of which [peer] announced newer ones. */
     fun fetchNewer(peer: PeerVm) {
-        val announced = peer.announcement.store
         for (feed in feeds.values) {
-            if (isNewer(announced, feed) && kindsInProgress.add(feed.kind)) {
-                scope.launch { catchUp(feed, peer, announced) }
-            }
+            if (!isNewer(peer.announcement.store, feed)) continue
+            val isIdle = feed.kind !in newerPeers
+            val peers = newerPeers.getOrPut(feed.kind) { LinkedHashMap() }
+            peers.remove(peer.name)
+            peers[peer.name] = peer
+            if (isIdle) scope.launch { catchUp(feed, peers) }
         }
     }
 
-    private suspend fun catchUp(feed: StoreFeed, peer: PeerVm, announced: AnnouncedStore) {
+    private suspend fun catchUp(feed: StoreFeed, peers: LinkedHashMap<VmName, PeerVm>) {
         try {
             if (feed.hasListing) delay(CATCH_UP_DELAY)
-            if (!isNewer(announced, feed)) return
-            val listing = snapshots.fetchOrNull(peer.control, feed.kind)
-            if (listing != null) feed.adopt(listing) else log.info("peer-copy-missing", "peer" to peer.name)
+            val askedPeers = HashSet<VmName>()
+            while (true) {
+                // A peer that was heard lately is the most likely to respond.
+                val peer = peers.values.lastOrNull { it.name !in askedPeers && isNewer(it.announcement.store, feed) }
+                    ?: break
+                val listing = fetchOrNull(peer.control, feed.kind)
+                askedPeers.add(peer.name)
+                if (listing != null) feed.adopt(listing) else log.info("peer-copy-missing", "peer" to peer.name)
+            }
         } finally {
-            kindsInProgress.remove(feed.kind)
+            newerPeers.remove(feed.kind)
         }
     }
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerSnapshots.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerSnapshots.kt
@@ -20,7 +20,7 @@
 import org.anvilshed.gateway.store.StoreObject
 import org.anvilshed.gateway.store.StoreRevision
 import java.io.IOException
-import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Serves this VM's copies of store objects to peers, and fetches copies from peers. */
 internal class PeerSnapshots(vertx: Vertx, private val feeds: Map<StoreKind, StoreFeed>) {
@@ -84,11 +84,11 @@
         return StoreListing(objects, decodeRevision(json))
     }
 
-    private companion object {
-        const val OK = 200
-        const val NOT_FOUND = 404
+    companion object {
+        private const val OK = 200
+        private const val NOT_FOUND = 404
 
         /** A peer responds from memory; without a response in this time, another peer should be asked. */
-        val CALL_TIMEOUT = 1.seconds
+        val CALL_TIMEOUT = 500.milliseconds
     }
 }
