Send no more requests to a target that says in a response that it leaves

Change: TargetDirectory, which decides for all ways, counts the run of a target that said that it leaves as draining, whatever entries, listings or copies of peers say later; its next run is not affected. Announcements tell the other VMs for 5 s (label 15).

Evidence: the new test of GatewayLeavingTargetTest, with a store that is away, fails if the header is not read (200, 503 expected) and passes now.

--- a/core/src/main/kotlin/org/anvilshed/core/fleet/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/fleet/TargetDirectory.kt
@@ -10,23 +10,39 @@
  * Targets that are registered in the store, and the zones that are evacuated, as this VM last received them.
  *
  * Entries that may have expired in an outage of the store are kept until their targets had time to register again, see
- * [StoreContact]. An entry that disappeared otherwise is dropped at once. Not thread-safe.
+ * [StoreContact]. An entry that disappeared otherwise is dropped at once. A target process that said itself that it
+ * leaves counts as draining from then on, whatever its entry says. Not thread-safe.
  */
 public class TargetDirectory {
     private val registered = HashMap<String, RegisteredTarget>()
     private val lapsing = HashMap<String, LapsingTarget>()
+    private val leavingSince = HashMap<TargetKey, MonotonicTime>()
     private var evacuated: Set<ZoneName> = emptySet()
     private val lostEvacuationsUntil = HashMap<ZoneName, MonotonicTime>()
     private val coldZonesUntil = HashMap<ZoneName, MonotonicTime>()
 
     /** Targets that may get requests unless they are draining, including those whose registrations may have lapsed. */
     public val targets: Collection<RegisteredTarget>
-        get() = registered.values + lapsing.values.map { it.target }
+        get() = (registered.values + lapsing.values.map { it.target }).map { target ->
+            if (target.key in leavingSince) target.copy(draining = true) else target
+        }
 
     /** Zones whose targets must get no requests. */
     public val evacuatedZones: Set<ZoneName>
         get() = evacuated + lostEvacuationsUntil.keys
 
+    /** Records that the process [key] said at [now] that it leaves; returns whether that is new of a known target. */
+    public fun recordLeaving(key: TargetKey, now: MonotonicTime): Boolean {
+        if (key in leavingSince || targets.none { it.key == key }) return false
+        leavingSince[key] = now
+        lapsing.values.removeIf { it.target.key == key }
+        return true
+    }
+
+    /** Returns the processes that are known to leave since less than [time] before [now]. */
+    public fun leavingWithin(time: Duration, now: MonotonicTime): List<TargetKey> =
+        if (leavingSince.isEmpty()) emptyList() else leavingSince.filterValues { now - it < time }.keys.toList()
+
     /** Names of the targets that are kept although their entries disappeared. */
     public val lapsingNames: Set<String>
         get() = lapsing.keys.toSet()
@@ -91,6 +107,9 @@
 
     /** Drops entries and evacuations that were not written again by [now]; returns their names. */
     public fun expire(now: MonotonicTime): List<String> {
+        leavingSince.entries.removeIf { (key, since) ->
+            now - since >= LEAVING_MEMORY && registered[key.name]?.key != key
+        }
         if (lapsing.isEmpty() && lostEvacuationsUntil.isEmpty()) return emptyList()
         val endedEvacuations = lostEvacuationsUntil.filterValues { it <= now }.keys.toList()
         lostEvacuationsUntil.keys.removeAll(endedEvacuations.toSet())
@@ -100,7 +119,12 @@
     }
 
     private fun keep(target: RegisteredTarget, until: MonotonicTime?) {
-        if (until != null && !target.draining) lapsing[target.key.name] = LapsingTarget(target, until)
+        if (until != null &&
+            !target.draining &&
+            target.key !in leavingSince
+        ) {
+            lapsing[target.key.name] = LapsingTarget(target, until)
+        }
     }
 
     private class LapsingTarget(val target: RegisteredTarget, val until: MonotonicTime)
@@ -108,5 +132,8 @@
     public companion object {
         /** An operator writes lost evacuations again within about the time that an evacuation may take. */
         public val LOST_EVACUATION_GRACE: Duration = 5.seconds
+
+        /** Longer than the time that a restored store may have lost, so that an older entry revives no target. */
+        private val LEAVING_MEMORY = 60.seconds
     }
 }
--- a/core/src/test/kotlin/org/anvilshed/core/fleet/TargetDirectoryTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/fleet/TargetDirectoryTest.kt
@@ -83,4 +83,33 @@
             directory.evacuatedZones shouldBe emptySet()
             directory.coldUntilOrNull(zone) shouldBe start + 14.seconds
         }
+
+        test(
+            "a target that said that it leaves gets no more requests, whatever its entry says, but its next run does",
+        ) {
+            val directory = TargetDirectory()
+            directory.replaceAll(listOf(target("a")), mayReturnUntil = null)
+            directory.recordLeaving(TargetKey("a", 1), start) shouldBe true
+            directory.recordLeaving(TargetKey("a", 1), start) shouldBe false
+            directory.recordLeaving(TargetKey("unknown", 1), start) shouldBe false
+            directory.targets.single().draining shouldBe true
+            directory.put(target("a"))
+            directory.replaceAll(listOf(target("a")), mayReturnUntil = null)
+            directory.expire(start + 90.seconds)
+            directory.targets.single().draining shouldBe true
+            directory.remove("a", mayReturnUntil = start + 95.seconds)
+            directory.targets.size shouldBe 0
+            directory.put(target("a").copy(key = TargetKey("a", 2)))
+            directory.targets.single().draining shouldBe false
+        }
+
+        test("the older entry of a target that said that it leaves does not revive it after its removal") {
+            val directory = TargetDirectory()
+            directory.put(target("a"))
+            directory.recordLeaving(TargetKey("a", 1), start)
+            directory.remove("a", mayReturnUntil = null)
+            directory.expire(start + 30.seconds)
+            directory.put(target("a"))
+            directory.targets.single().draining shouldBe true
+        }
     })
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -18,6 +18,7 @@
 import org.anvilshed.core.fleet.RegisteredTarget
 import org.anvilshed.core.fleet.StoreContact
 import org.anvilshed.core.fleet.TargetDirectory
+import org.anvilshed.core.fleet.TargetKey
 import org.anvilshed.core.placement.PlacementSettings
 import org.anvilshed.core.placement.ServicePool
 import org.anvilshed.core.placement.SharedRetryBudget
@@ -43,6 +44,7 @@
 import org.anvilshed.gateway.targets.TargetConnectionPool
 import kotlin.math.roundToInt
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * Gateway of one entry VM: forwards the requests of callers to targets, follows the store and exchanges announcements
@@ -113,6 +115,7 @@
         clock = clock,
         eventLoopMonitor = eventLoopMonitor,
         crashes = crashes,
+        onTargetLeaving = { recordLeaving(it.key, "response") },
         members = { participantCount },
         connectionLimit = ::connectionLimit,
         connectTimeout = { roundTripTimes.estimate(it.zone) * CONNECT_ROUND_TRIPS + MINIMUM_CONNECT_TIME },
@@ -272,8 +275,16 @@
             serviceQueues.values.flatMap { it.pool.rates(now).entries }.map { AnnouncedRate.of(it.key, it.value, now) }
         },
         crashes = { crashes.announced(now).map { AnnouncedCrash.of(it, now) } },
+        leaving = { directory.leavingWithin(LEAVING_ANNOUNCEMENT, now).map(AnnouncedRate::hashOf) },
     )
 
+    private fun recordLeaving(target: TargetKey, source: String) {
+        val now = clock()
+        if (!directory.recordLeaving(target, now)) return
+        log.info("target-leaving", "name" to target.name, "started_at" to target.startedAtMillis, "source" to source)
+        refreshTargets(now)
+    }
+
     private fun recordRefusedConnection(target: RegisteredTarget) {
         val now = clock()
         val observed = crashes.recordRefusedConnection(target.key, now)
@@ -304,6 +315,11 @@
         val change = announcements.receive(announcement, now)
         if (change == PeerChange.IGNORED) return
         isAnnouncedLoadStale = true
+        for (hash in announcement.leaving) {
+            directory.targets.firstOrNull {
+                AnnouncedRate.hashOf(it.key) == hash
+            }?.let { recordLeaving(it.key, "peer") }
+        }
         for (crash in announcement.crashes) crashes.record(crash.toObservation(now), now)
         announcement.store.responseAge?.let { contact.recordResponseToPeer(now - it) }
         if (change == PeerChange.APPEARED) refreshPolicies(now)
@@ -362,6 +378,9 @@
          * second. Shorter than the period of the announcements of one VM.
          */
         val ANNOUNCED_LOAD_REFRESH_PERIOD = 60.milliseconds
+
+        /** Several announcements, in case some are lost. */
+        val LEAVING_ANNOUNCEMENT = 5.seconds
         val STOP_POLL_PERIOD = 20.milliseconds
 
         /** The process must end this long before it would be killed. */
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/RequestHeaderNames.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/RequestHeaderNames.kt
@@ -11,6 +11,7 @@
  * @property expectedTarget name of the target for which a request is meant.
  * @property targetLoad number of running requests, of waiting requests and of slots of a target, separated by commas.
  * @property targetRateLimit requests per second that a target takes from all entry VMs together, while it states them.
+ * @property targetLeaving `1` in the responses of a target that shuts down.
  */
 public data class RequestHeaderNames(
     public val requestId: String,
@@ -21,4 +22,5 @@
     public val expectedTarget: String,
     public val targetLoad: String,
     public val targetRateLimit: String,
+    public val targetLeaving: String,
 )
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/WarmUp.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/WarmUp.kt
@@ -117,6 +117,7 @@
             // With a clock that stands still, requests never wait for socket reads; no caller here disconnects.
             eventLoopMonitor = EventLoopMonitor { MonotonicTime(0) },
             crashes = CrashSuspicions("warm-up"),
+            onTargetLeaving = {},
             members = { 1 },
             connectionLimit = { CONCURRENCY },
             connectTimeout = { 1.seconds },
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/Announcement.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/Announcement.kt
@@ -29,6 +29,8 @@
  * @property storeResponseAgeMillis time since the store last responded to this VM; absent from older builds and if it
  *   never did.
  * @property crashes what this VM knows about requests that may crash targets; absent from older builds.
+ * @property leaving [AnnouncedRate.hashOf] target processes that said recently that they leave; absent from older
+ *   builds.
  * @property rates what this VM knows about targets that state a rate limit; absent from older builds.
  */
 @OptIn(ExperimentalSerializationApi::class)
@@ -49,6 +51,7 @@
     @CborLabel(12) public val configVersion: Long = AnnouncedStore.NO_CONFIG,
     @CborLabel(13) public val storeResponseAgeMillis: Long = AnnouncedStore.NO_RESPONSE,
     @CborLabel(14) public val crashes: List<AnnouncedCrash> = emptyList(),
+    @CborLabel(15) public val leaving: List<Int> = emptyList(),
 ) {
     /** What this VM knows of the store. */
     public val store: AnnouncedStore
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/AnnouncementExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/AnnouncementExchange.kt
@@ -13,11 +13,13 @@
  * @property occupiedSlots slots that this VM's requests in flight occupy, as in [Announcement.occupiedSlots].
  * @property rates returns what this VM knows about targets that state a rate limit.
  * @property crashes returns what this VM knows about requests that may crash targets.
+ * @property leaving returns [AnnouncedRate.hashOf] the targets that said recently that they leave.
  */
 internal class AnnouncedLoad(
     val occupiedSlots: Map<Int, Int>,
     val rates: () -> List<AnnouncedRate>,
     val crashes: () -> List<AnnouncedCrash>,
+    val leaving: () -> List<Int>,
 )
 
 /**
@@ -118,6 +120,7 @@
             occupiedSlots = load.occupiedSlots,
             rates = load.rates(),
             crashes = load.crashes(),
+            leaving = load.leaving(),
             peers = live.map { it.control.host }.shuffled().take(ANNOUNCED_PEERS),
         )
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
@@ -82,6 +82,7 @@
  * the service allows it. Confined to the event loop.
  *
  * @param crashes finds requests that crash targets, which are refused.
+ * @param onTargetLeaving called with a target whose response says that it shuts down.
  * @param members number of VMs that share the retry budgets.
  * @param connectionLimit most connections of this VM to one target of a service.
  * @param connectTimeout time limit for opening a connection to a target.
@@ -95,6 +96,7 @@
     private val clock: MonotonicClock,
     private val eventLoopMonitor: EventLoopMonitor,
     private val crashes: CrashSuspicions,
+    private val onTargetLeaving: (RegisteredTarget) -> Unit,
     private val members: () -> Int,
     private val connectionLimit: (ServiceName) -> Int,
     private val connectTimeout: (RegisteredTarget) -> Duration,
@@ -225,6 +227,7 @@
             headerNames = headerNames,
             responseMemory = request.responseMemory,
             onRateLimit = { recordRateLimit(queue, request, send, it) },
+            onLeaving = { onTargetLeaving(send.target) },
         )
         try {
             val result = awaitResult(queue, request, send, exchange)
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
@@ -59,6 +59,7 @@
  *
  * @param responseMemory memory for holding the response; a response that does not fit is streamed.
  * @param onRateLimit called with the statement of the response as soon as its head has arrived.
+ * @param onLeaving called as soon as the head of a response has arrived that says that the target shuts down.
  */
 internal class TargetExchange(
     private val connection: TargetConnection,
@@ -66,6 +67,7 @@
     private val headerNames: RequestHeaderNames,
     private val responseMemory: MemoryBudget.Reservation,
     private val onRateLimit: (RateLimitStatement) -> Unit,
+    private val onLeaving: () -> Unit,
 ) {
     private val headArrived = CompletableDeferred<Unit>()
     private val result = CompletableDeferred<ExchangeResult>()
@@ -121,6 +123,7 @@
         // Another process answers with this status; it says nothing about the target.
         if (response.statusCode() != MISDIRECTED) {
             onRateLimit(RateLimitStatement.parse(response.headers().getAll(headerNames.targetRateLimit)))
+            if (response.headers().getAll(headerNames.targetLeaving).any { it.trim() == "1" }) onLeaving()
         }
         val report = parseLoadReport(response.getHeader(headerNames.targetLoad))
         val body = Buffer.buffer()
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayLeavingTargetTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayLeavingTargetTest.kt
@@ -81,4 +81,33 @@
                 }
             }
         }
+
+        // Guards against news of a target that count only if they come from the store.
+        test("a target that says in a response that it leaves gets no more requests from this VM and its peers") {
+            val leaving = ScriptedTarget { request, socket ->
+                ScriptedTarget.respond(socket, request, extra = "X-Leaving: 1\r\n")
+            }
+            val peerPort = GatewayTestbed.freePort()
+            GatewayTestbed(host = "127.0.0.43", peerPort = peerPort).use { first ->
+                first.config(1)
+                first.target("leaving", leaving)
+                val seeds = listOf(first.settings.listen.control)
+                GatewayTestbed(first.store, "vm-2", seeds, "127.0.0.44", peerPort).use { second ->
+                    first.awaitReady()
+                    second.awaitReady()
+                    first.store.isDown = true
+                    first.call("/safe/").status shouldBe 200
+                    Thread.sleep(DRAIN_BOUND_MILLIS)
+                    first.call("/safe/").status shouldBe 503
+                    second.call("/safe/").status shouldBe 503
+                    // An older entry that is written once more says nothing new about this run of the target.
+                    first.store.isDown = false
+                    first.target("leaving", leaving)
+                    Thread.sleep(1_000)
+                    first.call("/safe/").status shouldBe 503
+                    leaving.received.size shouldBe 1
+                }
+            }
+            leaving.close()
+        }
     })
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/peers/AnnouncementOuterNamesTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/peers/AnnouncementOuterNamesTest.kt
@@ -101,9 +101,9 @@
         }
 
         @OptIn(ExperimentalSerializationApi::class)
-        test("an older build reads an announcement with crashes, and its own are read without them") {
+        test("an older build reads an announcement with crashes and leaving targets, and its own are read without them") {
             val crashes = listOf(AnnouncedCrash(1L shl 60, 5, 200, 50), AnnouncedCrash(2, null, 10, 0))
-            val bytes = announcement.copy(crashes = crashes).encode()
+            val bytes = announcement.copy(crashes = crashes, leaving = listOf(9)).encode()
             val older = Cbor {
                 preferCborLabelsOverNames = true
                 ignoreUnknownKeys = true
@@ -111,6 +111,7 @@
             older.sequence shouldBe announcement.sequence
             older.peers shouldBe announcement.peers
             Announcement.decodeOrNull(bytes)?.crashes shouldBe crashes
+            Announcement.decodeOrNull(bytes)?.leaving shouldBe listOf(9)
             Announcement.decodeOrNull(HexFormat.of().parseHex(DATAGRAM))?.crashes shouldBe emptyList()
         }
     })
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
@@ -54,6 +54,7 @@
     expectedTarget = "X-Target",
     targetLoad = "X-Load",
     targetRateLimit = "X-Rate-Limit",
+    targetLeaving = "X-Leaving",
 )
 
 private val DECODERS = StoreDecoders(
