--- a/core/src/main/kotlin/org/anvilshed/core/fleet/CrashSuspicions.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/fleet/CrashSuspicions.kt
@@ -25,9 +25,9 @@
  *
  * A request is suspected if the connection ended while a target had it and the target then refused connections, so a
  * broken connection to a target that goes on is no evidence. Requests that were at the same targets by chance are
- * cleared by responses elsewhere, or by a request that was there at more crashes. After [CRASH_LIMIT] crashes the request is suspended for
- * [SHORTEST_SUSPENSION], or up to twice as long; the VMs end the suspension one after the other, and a single further
- * crash renews it. Not thread-safe.
+ * cleared by responses elsewhere, or by a request that was there at more crashes. After [CRASH_LIMIT] crashes the
+ * request is suspended for [SHORTEST_SUSPENSION], or up to twice as long; the VMs end the suspension one after the
+ * other, and a single further crash renews it. Not thread-safe.
  *
  * @param self name of this VM.
  */
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayFaultyTargetTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayFaultyTargetTest.kt
@@ -15,8 +15,8 @@
     "HTTP/1.1 503 Service Unavailable\r\nX-Id: $id\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
 
 /**
- * Target that refuses the first request on each connection, and writes [repeated] before it runs the second one, as if it
- * refused that one as well.
+ * Target that refuses the first request, and writes [repeated] before it runs the next one on that connection, as if
+ * it refused that one as well.
  */
 private class RepeatingTarget(private val repeated: (ReceivedRequest) -> String) {
     private val refused = Collections.synchronizedSet(Collections.newSetFromMap(WeakHashMap<Socket, Boolean>()))
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/peers/AnnouncementOuterNamesTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/peers/AnnouncementOuterNamesTest.kt
@@ -101,7 +101,7 @@
         }
 
         @OptIn(ExperimentalSerializationApi::class)
-        test("an older build reads an announcement with crashes and leaving targets, and its own are read without them") {
+        test("an older build reads an announcement with crashes and leaving targets, and its own are read without") {
             val crashes = listOf(AnnouncedCrash(1L shl 60, 5, 200, 50), AnnouncedCrash(2, null, 10, 0))
             val bytes = announcement.copy(crashes = crashes, leaving = listOf(9)).encode()
             val older = Cbor {
