Send a target nothing for as long as it asks in a 503

No source read the header of targets: a target that was full counted as full for 50 ms.

Change: RegionCapacity, which decides whether a target is in service, leaves it out until the time is over, for new, waiting and repeated requests and right before each send. VMs come back one after the other, up to a quarter or 1 s later. If no other target may serve a request, it is refused at once, with the time until the first pause ends.

--- a/core/src/main/kotlin/org/anvilshed/core/placement/Placement.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/Placement.kt
@@ -38,6 +38,9 @@
     /** No target of the service is registered, or none may be used. */
     NO_TARGET("no-target"),
 
+    /** All targets of the service that may serve the request have asked for a pause. */
+    PAUSED("targets-paused"),
+
     /** The expected wait for a slot is longer than the request may wait. */
     OVERLOADED("overloaded"),
 
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
@@ -5,6 +5,7 @@
 import org.anvilshed.core.fleet.RegisteredTarget
 import org.anvilshed.core.fleet.TargetKey
 import org.anvilshed.core.ingress.ServicePolicy
+import org.anvilshed.core.membership.rendezvousScore
 import java.util.TreeSet
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.ZERO
@@ -25,7 +26,7 @@
  * @param roundTripTime expected network round-trip time to a target in a zone.
  */
 public class ServicePool(
-    self: String,
+    private val self: String,
     private val settings: () -> PlacementSettings,
     private val shiftLimiter: ShiftChangeLimiter,
     private val roundTripTime: (ZoneName) -> Duration,
@@ -70,16 +71,28 @@
         for (load in loads.values) load.announcedSlotsOfOthers = slotsOf(load.target.key.name)
     }
 
-    /** Returns whether [target] may get a request now; must be checked again immediately before each send. */
-    public fun mayReceive(target: RegisteredTarget): Boolean {
+    /** Returns whether [target] may get a request at [now]; must be checked again immediately before each send. */
+    public fun mayReceive(target: RegisteredTarget, now: MonotonicTime): Boolean {
         val load = loads[target.key] ?: return false
-        return capacity.isInService(load)
+        return capacity.isInService(load, now)
+    }
+
+    /**
+     * Records that the target of [inFlight] asked at [now] for [pause] without requests from this VM.
+     *
+     * The VMs that it asked at the same time, as when it was overloaded, return one after the other.
+     */
+    public fun recordPause(inFlight: InFlightRequest, pause: Duration, now: MonotonicTime) {
+        val score = rendezvousScore(inFlight.load.target.key.name, self)
+        val fraction = (score ushr 1).toDouble() / Long.MAX_VALUE
+        val extension = (pause * PAUSE_EXTENSION_FRACTION).coerceAtMost(MAXIMUM_PAUSE_EXTENSION)
+        inFlight.load.recordPause(now + pause + extension * fraction)
     }
 
     /** Decides at [now] whether [request] is sent, waits or is refused. */
     public fun offer(request: PlacementRequest, now: MonotonicTime): Placement {
         val usable = usableTargets(request, now)
-        if (usable.isEmpty()) return Placement.Refuse(PlacementRefusalReason.NO_TARGET, NO_TARGET_RETRY_DELAY)
+        if (usable.isEmpty()) return refuseWithoutTarget(request, now)
         affinity.adjust(now)
         val choice = selector.choose(request, usable, now)
         val wait = queueWait(request, now)
@@ -107,7 +120,7 @@
     public fun dispatchWaiting(now: MonotonicTime): List<Pair<WaitingRequest, Placement>> {
         if (waiting.isEmpty()) return emptyList()
         val decided = ArrayList<Pair<WaitingRequest, Placement>>()
-        val hasRoom = loads.values.any { capacity.isInService(it) && selector.hasRoom(it, now) }
+        val hasRoom = loads.values.any { capacity.isInService(it, now) && selector.hasRoom(it, now) }
         for ((index, ticket) in waiting.toList().withIndex()) {
             val isExamined = index < EXAMINED_LIMIT || now >= ticket.expiresAt
             val placement = if (isExamined) decideOrNull(ticket, hasRoom, now) else null
@@ -163,9 +176,7 @@
      * @param hasRoom whether any target has room; otherwise the request can only go on waiting until it expires.
      */
     private fun decideOrNull(ticket: WaitingRequest, hasRoom: Boolean, now: MonotonicTime): Placement? {
-        if (loads.values.none { isEligible(it, ticket.request) }) {
-            return Placement.Refuse(PlacementRefusalReason.NO_TARGET, NO_TARGET_RETRY_DELAY)
-        }
+        if (loads.values.none { isEligible(it, ticket.request, now) }) return refuseWithoutTarget(ticket.request, now)
         val hasExpired = now >= ticket.expiresAt
         if (!hasRoom && !hasExpired) return null
         val choice = selector.choose(ticket.request, usableTargets(ticket.request, now), now)
@@ -192,12 +203,22 @@
         return processingTime / expected.coerceAtLeast(1.milliseconds)
     }
 
-    private fun isEligible(load: TargetLoad, request: PlacementRequest): Boolean = capacity.isInService(load) &&
-        (request.excluded.isEmpty() || load.target.key !in request.excluded) &&
-        (request.homeRegions.isEmpty() || load.region in request.homeRegions)
+    /** Refuses [request]; it is worth a new attempt when the first target ends its pause, if any has asked for one. */
+    private fun refuseWithoutTarget(request: PlacementRequest, now: MonotonicTime): Placement.Refuse {
+        val resumesAt = loads.values.mapNotNull { load ->
+            load.pausedUntil?.takeIf { load.isPaused(now) && isEligible(load, request, it) }
+        }.minOrNull()
+        if (resumesAt == null) return Placement.Refuse(PlacementRefusalReason.NO_TARGET, NO_TARGET_RETRY_DELAY)
+        return Placement.Refuse(PlacementRefusalReason.PAUSED, resumesAt - now + MINIMUM_RETRY_DELAY)
+    }
+
+    private fun isEligible(load: TargetLoad, request: PlacementRequest, now: MonotonicTime): Boolean =
+        capacity.isInService(load, now) &&
+            (request.excluded.isEmpty() || load.target.key !in request.excluded) &&
+            (request.homeRegions.isEmpty() || load.region in request.homeRegions)
 
     private fun usableTargets(request: PlacementRequest, now: MonotonicTime): List<TargetLoad> {
-        val eligible = loads.values.filter { isEligible(it, request) }
+        val eligible = loads.values.filter { isEligible(it, request, now) }
         val healthy = eligible.filterNot { it.isSuspended(now) }
         // If most targets are suspended, the cause is more likely this VM's own network than the targets.
         return if (healthy.size * 2 >= eligible.size) healthy else eligible
@@ -263,6 +284,10 @@
     }
 
     private companion object {
+        /** Time by which VMs return later than the target asked, at most, as a fraction of its pause. */
+        const val PAUSE_EXTENSION_FRACTION = 0.25
+        val MAXIMUM_PAUSE_EXTENSION = 1.seconds
+
         /** An object that was sent fewer requests before than this is still cached, however few a target caches. */
         const val SURELY_CACHED_AGE = 2L
 
--- a/core/src/main/kotlin/org/anvilshed/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/TargetLoad.kt
@@ -29,6 +29,10 @@
     private var suspension = INITIAL_SUSPENSION
     private var suspendedUntil = createdAt
 
+    /** Time until which the target asked this VM for no requests, or `null` if it never did. */
+    var pausedUntil: MonotonicTime? = null
+        private set
+
     /** Limit on the rate of requests that the target stated. */
     val rateLimit = TargetRateLimit()
 
@@ -73,6 +77,14 @@
     /** Returns whether the target gets no requests at [now] because of failures. */
     fun isSuspended(now: MonotonicTime): Boolean = now < suspendedUntil
 
+    /** Records that the target wants no requests until [time]. */
+    fun recordPause(time: MonotonicTime) {
+        pausedUntil = maxOf(pausedUntil ?: time, time)
+    }
+
+    /** Returns whether the target wants no requests at [now]. */
+    fun isPaused(now: MonotonicTime): Boolean = pausedUntil?.let { now < it } ?: false
+
     /** Returns by which factor processing takes longer than expected, including requests in flight that are overdue. */
     fun currentSlowdown(now: MonotonicTime): Double {
         var factor = slowdown
--- a/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
@@ -8,6 +8,7 @@
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import org.anvilshed.core.MonotonicTime
 import org.anvilshed.core.RegionName
@@ -213,10 +214,58 @@
             pool.updateTargets(listOf(target("a").copy(draining = true)), emptySet(), START)
             pool.offer(request(START), START).shouldBeInstanceOf<Placement.Refuse>().reason shouldBe
                 PlacementRefusalReason.NO_TARGET
-            pool.mayReceive(target("a")) shouldBe false
+            pool.mayReceive(target("a"), START) shouldBe false
             pool.updateTargets(listOf(target("a")), setOf(LOCAL_ZONE), START)
             pool.offer(request(START), START).shouldBeInstanceOf<Placement.Refuse>()
-            pool.mayReceive(target("a")) shouldBe false
+            pool.mayReceive(target("a"), START) shouldBe false
+        }
+
+        test("a target that asked for a pause gets no request until it is over, and a refusal says when that is") {
+            val pool = pool(target("a"), target("b"))
+            val first = pool.send(START)
+            val second = pool.send(START)
+            first.target.key shouldNotBe second.target.key
+            pool.recordPause(first.inFlight, 2.seconds, START)
+            pool.recordPause(first.inFlight, 1.seconds, START)
+            pool.mayReceive(first.target, START + 1999.milliseconds) shouldBe false
+            pool.mayReceive(second.target, START) shouldBe true
+            pool.send(START + 1.seconds).target.key shouldBe second.target.key
+            pool.recordPause(second.inFlight, 3.seconds, START)
+            val refused = pool.offer(request(START), START + 1.seconds).shouldBeInstanceOf<Placement.Refuse>()
+            refused.reason shouldBe PlacementRefusalReason.PAUSED
+            refused.retryAfter shouldBeGreaterThan 1.seconds
+            val resumed = START + 1.seconds + refused.retryAfter
+            pool.mayReceive(first.target, resumed) shouldBe true
+            pool.mayReceive(second.target, resumed) shouldBe false
+        }
+
+        test("a waiting request is refused at once when all targets have asked for a pause") {
+            val pool = pool(target("a", slots = 1))
+            pool.learn(1, 900.milliseconds)
+            val sent = List(2) {
+                pool.offer(request(START, latencyObjective = 900.milliseconds), START)
+                    .shouldBeInstanceOf<Placement.Send>()
+            }
+            val waiting = pool.offer(request(START, latencyObjective = 900.milliseconds), START)
+                .shouldBeInstanceOf<Placement.Wait>()
+            pool.recordPause(sent.first().inFlight, 2.seconds, START)
+            val decided = pool.dispatchWaiting(START + 10.milliseconds)
+            decided.single().first shouldBe waiting.ticket
+            decided.single().second.shouldBeInstanceOf<Placement.Refuse>().reason shouldBe PlacementRefusalReason.PAUSED
+        }
+
+        test("the VMs that a target turned away at one moment return one after the other") {
+            val members = List(300) { "vm-$it" }
+            val resumed = members.map { member ->
+                val pool = ServicePool(member, { SETTINGS }, ShiftChangeLimiter({ 0.15 }, RegionName("home"))) {
+                    1.milliseconds
+                }
+                pool.updateTargets(listOf(target("a")), emptySet(), START - 10.seconds)
+                val sent = pool.offer(request(START), START).shouldBeInstanceOf<Placement.Send>()
+                pool.recordPause(sent.inFlight, 4.seconds, START)
+                (0..1_100 step 100).first { pool.mayReceive(sent.target, START + 4.seconds + it.milliseconds) }
+            }
+            resumed.groupingBy { it }.eachCount().values.max() shouldBeLessThanOrEqual 50
         }
 
         test("a request goes to the target that handled its object before") {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
@@ -189,7 +189,7 @@
                 return AttemptResult.NotSent
             }
             // The target may have been withdrawn while the connection was opened.
-            if (!queue.pool.mayReceive(send.target)) {
+            if (!queue.pool.mayReceive(send.target, clock())) {
                 connections.release(send.target.key, connection)
                 return AttemptResult.NotSent
             }
@@ -228,6 +228,7 @@
             responseMemory = request.responseMemory,
             onRateLimit = { recordRateLimit(queue, request, send, it) },
             onLeaving = { onTargetLeaving(send.target) },
+            onPause = { recordPause(queue, request, send, it) },
         )
         try {
             val result = awaitResult(queue, request, send, exchange)
@@ -275,6 +276,17 @@
         )
     }
 
+    private fun recordPause(queue: ServiceQueue, request: ForwardedRequest, send: Placement.Send, pause: Duration) {
+        queue.pool.recordPause(send.inFlight, pause, clock())
+        log.request(
+            "target-paused",
+            "id" to request.target.id,
+            "target" to send.target.key.name,
+            "started_at" to send.target.key.startedAtMillis,
+            "pause_ms" to pause.inWholeMilliseconds,
+        )
+    }
+
     private fun targetSilent(): Pair<AttemptResult, TargetOutcome> =
         AttemptResult.Retryable(Reply.Failed(GATEWAY_TIMEOUT, "target-silent"), "target-silent") to TargetOutcome.Broken
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
@@ -9,8 +9,10 @@
 import kotlinx.coroutines.CompletableDeferred
 import org.anvilshed.core.placement.LoadReport
 import org.anvilshed.core.placement.RateLimitStatement
+import org.anvilshed.core.placement.parsePauseOrNull
 import org.anvilshed.gateway.MemoryBudget
 import org.anvilshed.gateway.RequestHeaderNames
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -60,6 +62,8 @@
  * @param responseMemory memory for holding the response; a response that does not fit is streamed.
  * @param onRateLimit called with the statement of the response as soon as its head has arrived.
  * @param onLeaving called as soon as the head of a response has arrived that says that the target shuts down.
+ * @param onPause called with the time for which the target wants no requests, as soon as the head of such a response has
+ *   arrived.
  */
 internal class TargetExchange(
     private val connection: TargetConnection,
@@ -68,6 +72,7 @@
     private val responseMemory: MemoryBudget.Reservation,
     private val onRateLimit: (RateLimitStatement) -> Unit,
     private val onLeaving: () -> Unit,
+    private val onPause: (Duration) -> Unit,
 ) {
     private val headArrived = CompletableDeferred<Unit>()
     private val result = CompletableDeferred<ExchangeResult>()
@@ -124,6 +129,9 @@
         if (response.statusCode() != MISDIRECTED) {
             onRateLimit(RateLimitStatement.parse(response.headers().getAll(headerNames.targetRateLimit)))
             if (response.headers().getAll(headerNames.targetLeaving).any { it.trim() == "1" }) onLeaving()
+            if (response.statusCode() == SERVICE_UNAVAILABLE) {
+                parsePauseOrNull(response.headers().getAll("Retry-After"))?.let(onPause)
+            }
         }
         val report = parseLoadReport(response.getHeader(headerNames.targetLoad))
         val body = Buffer.buffer()
@@ -183,6 +191,7 @@
     companion object {
         /** Status 421 (Misdirected Request): another process has the address of the target. */
         const val MISDIRECTED = 421
+        private const val SERVICE_UNAVAILABLE = 503
         private const val LOAD_REPORT_FIELDS = 3
 
         /** Responses up to this size are buffered whole, so that a retry can replace a response that fails midway. */
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayFaultyTargetTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayFaultyTargetTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
 import org.anvilshed.gateway.testbed.ReceivedRequest
@@ -83,4 +84,28 @@
                 }
             }
         }
+
+        // Guards against requests that come on while a target has said for how long it wants none.
+        test("a target that turns a request away with a time gets no more than two requests in that time") {
+            val overloaded: (ReceivedRequest, Socket) -> Unit = { request, socket ->
+                ScriptedTarget.respond(
+                    socket,
+                    request,
+                    status = "503 Service Unavailable",
+                    extra = "Retry-After: 1.5\r\nX-Not-Run: 1\r\n",
+                )
+            }
+            withTargets(overloaded) { testbed, (target) ->
+                testbed.call("/safe/").status shouldBe 503
+                Thread.sleep(500)
+                val before = target.received.size
+                val refused = List(8) { testbed.call("/safe/", id = "id-$it") }
+                refused.map { it.status }.toSet() shouldBe setOf(503)
+                refused.first().body.contains("targets-paused") shouldBe true
+                target.received.size - before shouldBeLessThanOrEqual 2
+                Thread.sleep(2_000)
+                testbed.call("/safe/", id = "later")
+                target.received.last().id shouldBe "later"
+            }
+        }
     })
