Count an outage of the store from its first error, and expiry from two missed reports

The last report may be one period before the outage, and the next one a period after it.

Change: an error that arrives, unlike a call without any response, shows that the store was there until then, so an outage begins with it; it must last for one report period.

--- a/core/src/main/kotlin/org/anvilshed/core/fleet/StoreContact.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/fleet/StoreContact.kt
@@ -34,8 +34,14 @@
     /** Records that the store responded to another VM at [at]. */
     public fun recordResponseToPeer(at: MonotonicTime): Unit = recordEvidence(at)
 
-    /** Records that the store did not respond to this VM. */
-    public fun recordFailure() {
+    /**
+     * Records that a call of this VM failed at [now].
+     *
+     * @param isSilent whether the call got no response within its time, so that the outage may have begun long before.
+     *   A call that ends with an error shows that the store was there until then.
+     */
+    public fun recordFailure(isSilent: Boolean, now: MonotonicTime) {
+        if (!isLost && !isSilent) recordEvidence(now)
         isLost = true
     }
 
@@ -60,12 +66,12 @@
         latestResponse = at
     }
 
-    /** A target may have renewed its registration up to one period before the outage. */
-    private fun shortestExpiry(): Duration = reportPeriod() * (MISSED_REPORTS - 1)
+    /** A target may have renewed its registration one period before the outage, and try again one period after it. */
+    private fun shortestExpiry(): Duration = reportPeriod() * (EXPIRY_PERIODS - 2)
 
     public companion object {
-        /** Renewals that a target must miss before its registration expires. */
-        private const val MISSED_REPORTS = 3
+        /** Periods without a renewal after which a registration expires. */
+        private const val EXPIRY_PERIODS = 3
 
         /**
          * Live targets register again within 2 s after the store is reachable again; the rest is the time that the
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/ObjectStore.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/ObjectStore.kt
@@ -69,8 +69,9 @@
      * No usable response arrived; a write may have taken effect or may still do so.
      *
      * @property cause what failed, for the log.
+     * @property isSilent whether nothing arrived within the time limit of the call, not even an error.
      */
-    public data class NoAnswer(public val cause: String) : StoreResult<Nothing>
+    public data class NoAnswer(public val cause: String, public val isSilent: Boolean = false) : StoreResult<Nothing>
 }
 
 /** Store of versioned objects that all entry VMs share. */
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
@@ -189,7 +189,7 @@
 
     private fun recordFailure(result: StoreResult<*>) {
         mustVerifyEra = true
-        contact.recordFailure()
+        contact.recordFailure(isSilent = result is StoreResult.NoAnswer && result.isSilent, clock())
         if (unreachableSince != null) return
         unreachableSince = clock()
         log.info("store-lost", "kind" to kind, "cause" to result.toString())
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
@@ -62,8 +62,8 @@
  * @param responseMemory memory for holding the response; a response that does not fit is streamed.
  * @param onRateLimit called with the statement of the response as soon as its head has arrived.
  * @param onLeaving called as soon as the head of a response has arrived that says that the target shuts down.
- * @param onPause called with the time for which the target wants no requests, as soon as the head of such a response has
- *   arrived.
+ * @param onPause called with the time for which the target wants no requests, as soon as the head of a response that
+ *   states it has arrived.
  */
 internal class TargetExchange(
     private val connection: TargetConnection,
