Announce the requests with the most crashes first

Found by reading; the new test of CrashSuspicionsTest failed before (not suspended at the peer) and passes now.

--- a/core/src/main/kotlin/org/anvilshed/core/fleet/CrashSuspicions.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/fleet/CrashSuspicions.kt
@@ -139,15 +139,26 @@
         histories.values.removeIf { now - lastChange(it) >= memory(it, WITNESS_MEMORY) }
     }
 
-    /** Returns what other VMs need to know at [now], the latest of it if there is too much for an announcement. */
+    /**
+     * Returns what other VMs need to know at [now]; if it is too much for an announcement, the requests with the most
+     * crashes first, and of these the latest ones.
+     */
     public fun announced(now: MonotonicTime): List<CrashObservation> {
         if (isEmpty) return emptyList()
-        return histories.filterValues { now - lastChange(it) < memory(it, WITNESS_ANNOUNCEMENT) }
+        return histories.entries.filter { (_, history) ->
+            now - lastChange(history) <
+                memory(history, WITNESS_ANNOUNCEMENT)
+        }
+            .sortedWith(
+                compareByDescending<Map.Entry<Long, History>> {
+                    it.value.crashCount
+                }.thenByDescending { lastChange(it.value) },
+            )
             .flatMap { (fingerprint, history) ->
                 val response = history.clearedAt?.let { CrashObservation(fingerprint, null, it, it) }
-                history.crashes.values + listOfNotNull(response)
+                listOfNotNull(response) + history.crashes.values.sortedByDescending { it.at }
             }
-            .sortedByDescending { it.at }.take(ANNOUNCED_LIMIT)
+            .take(ANNOUNCED_LIMIT)
     }
 
     /** Returns the number of requests that are suspended at [now]. */
--- a/core/src/test/kotlin/org/anvilshed/core/fleet/CrashSuspicionsTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/fleet/CrashSuspicionsTest.kt
@@ -127,6 +127,17 @@
             crashes.isEmpty shouldBe true
         }
 
+        // Guards against a loss of many targets that hides the request that crashes one after the other.
+        test("a suspended request is announced although more requests than fit were at other targets that ended") {
+            val crashes = CrashSuspicions("vm")
+            crashes.crash(DEADLY, target(1), start)
+            crashes.crash(DEADLY, target(2), start + 1.seconds)
+            for (number in 10..60) crashes.crash(100L + number, target(number), start + 2.seconds)
+            val peer = CrashSuspicions("peer")
+            crashes.announced(start + 2.seconds).forEach { peer.record(it, start + 2.seconds) }
+            peer.isSuspended(DEADLY, start + 2.seconds) shouldBe true
+        }
+
         test("requests that were at one crash are announced for a shorter time than they are remembered") {
             val crashes = CrashSuspicions("vm")
             crashes.crash(HARMLESS, target(1), start)
