Do not take the slots of a paused target for lost ones

A region whose targets ask for a pause would have counted as having lost its slots, which lifts the limit on requests that move to other regions. A pause only keeps requests away from the target. Also, the list of targets is copied only if one of them leaves.

--- a/core/src/main/kotlin/org/anvilshed/core/fleet/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/fleet/TargetDirectory.kt
@@ -23,8 +23,10 @@
 
     /** Targets that may get requests unless they are draining, including those whose registrations may have lapsed. */
     public val targets: Collection<RegisteredTarget>
-        get() = (registered.values + lapsing.values.map { it.target }).map { target ->
-            if (target.key in leavingSince) target.copy(draining = true) else target
+        get() {
+            val known = registered.values + lapsing.values.map { it.target }
+            if (leavingSince.isEmpty()) return known
+            return known.map { if (it.key in leavingSince) it.copy(draining = true) else it }
         }
 
     /** Zones whose targets must get no requests. */
--- a/core/src/main/kotlin/org/anvilshed/core/placement/RegionCapacity.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/RegionCapacity.kt
@@ -23,23 +23,21 @@
     /** Zones whose targets get no requests. */
     var evacuated: Set<ZoneName> = emptySet()
 
-    /**
-     * Returns whether the target of [load] may get requests at [now]: it is neither draining nor in an evacuated zone,
-     * and has not asked for a pause.
-     */
-    fun isInService(load: TargetLoad, now: MonotonicTime): Boolean =
-        !load.target.draining && load.target.zone !in evacuated && !load.isPaused(now)
+    /** Returns whether the target of [load] may get requests at [now]: it is in service and asked for no pause. */
+    fun mayReceive(load: TargetLoad, now: MonotonicTime): Boolean = isInService(load) && !load.isPaused(now)
+
+    private fun isInService(load: TargetLoad): Boolean = !load.target.draining && load.target.zone !in evacuated
 
     /** Returns the estimated load of the region's targets as a fraction of their slots; 1 if there are no slots. */
     fun occupancy(now: MonotonicTime): Double {
-        val local = localTargets(now)
+        val local = localTargets()
         val slots = local.sumOf { it.target.slots }
         return if (slots == 0) 1.0 else local.sumOf { it.estimatedLoad(now) } / slots
     }
 
     /** Returns whether the region recently lost so many slots that its requests must move to other regions at once. */
     fun hasLostSlots(now: MonotonicTime): Boolean {
-        val present = localTargets(now).sumOf { it.target.slots }
+        val present = localTargets().sumOf { it.target.slots }
         if (present >= peakSlots || now - peakSlotsAt >= PEAK_LIFETIME) {
             peakSlots = present
             peakSlotsAt = now
@@ -71,12 +69,11 @@
         val slots = load.target.slots.toDouble()
         val occupied = load.estimatedLoad(now)
         val own = load.occupiedSlots * slots / maxOf(occupied, slots)
-        return if (isUsableLocal(load, now)) own + (slots - occupied).coerceAtLeast(0.0) else own
+        return if (!load.isRemote && mayReceive(load, now)) own + (slots - occupied).coerceAtLeast(0.0) else own
     }
 
-    private fun localTargets(now: MonotonicTime): List<TargetLoad> = loads().filter { isUsableLocal(it, now) }
-
-    private fun isUsableLocal(load: TargetLoad, now: MonotonicTime): Boolean = !load.isRemote && isInService(load, now)
+    /** A pause is a short part of the load of a target; its slots are not lost. */
+    private fun localTargets(): List<TargetLoad> = loads().filter { !it.isRemote && isInService(it) }
 
     private companion object {
         /**
--- a/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
@@ -74,7 +74,7 @@
     /** Returns whether [target] may get a request at [now]; must be checked again immediately before each send. */
     public fun mayReceive(target: RegisteredTarget, now: MonotonicTime): Boolean {
         val load = loads[target.key] ?: return false
-        return capacity.isInService(load, now)
+        return capacity.mayReceive(load, now)
     }
 
     /**
@@ -120,7 +120,7 @@
     public fun dispatchWaiting(now: MonotonicTime): List<Pair<WaitingRequest, Placement>> {
         if (waiting.isEmpty()) return emptyList()
         val decided = ArrayList<Pair<WaitingRequest, Placement>>()
-        val hasRoom = loads.values.any { capacity.isInService(it, now) && selector.hasRoom(it, now) }
+        val hasRoom = loads.values.any { capacity.mayReceive(it, now) && selector.hasRoom(it, now) }
         for ((index, ticket) in waiting.toList().withIndex()) {
             val isExamined = index < EXAMINED_LIMIT || now >= ticket.expiresAt
             val placement = if (isExamined) decideOrNull(ticket, hasRoom, now) else null
@@ -213,7 +213,7 @@
     }
 
     private fun isEligible(load: TargetLoad, request: PlacementRequest, now: MonotonicTime): Boolean =
-        capacity.isInService(load, now) &&
+        capacity.mayReceive(load, now) &&
             (request.excluded.isEmpty() || load.target.key !in request.excluded) &&
             (request.homeRegions.isEmpty() || load.region in request.homeRegions)
 
