Check in one function that an older build reads an announcement

Three tests of AnnouncementOuterNamesTest decoded an announcement as an older build with the same lines.

--- a/gateway/src/test/kotlin/org/anvilshed/gateway/peers/AnnouncementOuterNamesTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/peers/AnnouncementOuterNamesTest.kt
@@ -58,6 +58,17 @@
     @CborLabel(9) val peers: List<String>,
 )
 
+/** Checks that a build from before the rate limits decodes [bytes] and skips the fields that it does not know. */
+@OptIn(ExperimentalSerializationApi::class)
+private fun olderBuildShouldRead(bytes: ByteArray) {
+    val older = Cbor {
+        preferCborLabelsOverNames = true
+        ignoreUnknownKeys = true
+    }.decodeFromByteArray<OlderAnnouncement>(bytes)
+    older.sequence shouldBe announcement.sequence
+    older.peers shouldBe announcement.peers
+}
+
 class AnnouncementOuterNamesTest :
     FunSpec({
         test("an older build could not read this build's announcement with other labels or another order") {
@@ -72,44 +83,26 @@
             required.map { descriptor.getElementName(it) } shouldBe REQUIRED_BY_OLDER_BUILDS
         }
 
-        @OptIn(ExperimentalSerializationApi::class)
         test("an older build reads an announcement with rates of targets, and its own are read without them") {
             val bytes = announcement.copy(rates = listOf(AnnouncedRate(1, 460, 20, 130))).encode()
-            val older = Cbor {
-                preferCborLabelsOverNames = true
-                ignoreUnknownKeys = true
-            }.decodeFromByteArray<OlderAnnouncement>(bytes)
-            older.sequence shouldBe announcement.sequence
-            older.peers shouldBe announcement.peers
+            olderBuildShouldRead(bytes)
             Announcement.decodeOrNull(bytes)?.rates shouldBe listOf(AnnouncedRate(1, 460, 20, 130))
             Announcement.decodeOrNull(HexFormat.of().parseHex(DATAGRAM))?.rates shouldBe emptyList()
         }
 
-        @OptIn(ExperimentalSerializationApi::class)
         test(
             "an older build reads an announcement with the age of the store's response, and its own are read without",
         ) {
             val bytes = announcement.copy(storeResponseAgeMillis = 250).encode()
-            val older = Cbor {
-                preferCborLabelsOverNames = true
-                ignoreUnknownKeys = true
-            }.decodeFromByteArray<OlderAnnouncement>(bytes)
-            older.sequence shouldBe announcement.sequence
-            older.peers shouldBe announcement.peers
+            olderBuildShouldRead(bytes)
             Announcement.decodeOrNull(bytes)?.store?.responseAge shouldBe 250.milliseconds
             Announcement.decodeOrNull(HexFormat.of().parseHex(DATAGRAM))?.store?.responseAge shouldBe null
         }
 
-        @OptIn(ExperimentalSerializationApi::class)
         test("an older build reads an announcement with crashes and leaving targets, and its own are read without") {
             val crashes = listOf(AnnouncedCrash(1L shl 60, 5, 200, 50), AnnouncedCrash(2, null, 10, 0))
             val bytes = announcement.copy(crashes = crashes, leaving = listOf(9)).encode()
-            val older = Cbor {
-                preferCborLabelsOverNames = true
-                ignoreUnknownKeys = true
-            }.decodeFromByteArray<OlderAnnouncement>(bytes)
-            older.sequence shouldBe announcement.sequence
-            older.peers shouldBe announcement.peers
+            olderBuildShouldRead(bytes)
             Announcement.decodeOrNull(bytes)?.crashes shouldBe crashes
             Announcement.decodeOrNull(bytes)?.leaving shouldBe listOf(9)
             Announcement.decodeOrNull(HexFormat.of().parseHex(DATAGRAM))?.crashes shouldBe emptyList()
