--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the stand-ins of all cases into target/review. Needs only the JDK.
+set -e
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+javac -d target/review review/standins/src/review/*.java
--- a/review/standins/src/review/Store.java
+++ b/review/standins/src/review/Store.java
@@ -26,6 +26,7 @@
     private final Map<String, TreeMap<String, Item>> objects = new HashMap<>();
     private final List<Event> events = new ArrayList<>();
     private final List<Socket> connections = new ArrayList<>();
+    private final java.util.Set<Socket> silenced = new java.util.HashSet<>();
     private long revision = 100;
     private boolean isSilent;
 
@@ -67,6 +68,11 @@
         notifyAll();
     }
 
+    /** Connections that are open now deliver no further answers, without a reset; new connections work. */
+    synchronized void silenceOpenConnections() {
+        silenced.addAll(connections);
+    }
+
     private void accept() throws IOException {
         while (true) {
             Socket socket = server.accept();
@@ -85,7 +91,7 @@
                 if (call == null) return;
                 byte[] answer = answer(call);
                 synchronized (this) {
-                    while (isSilent) wait();
+                    while (isSilent || silenced.contains(socket)) wait();
                 }
                 OutputStream out = socket.getOutputStream();
                 out.write(answer);
--- a/review/standins/src/review/Target.java
+++ b/review/standins/src/review/Target.java
@@ -20,8 +20,8 @@
     final long born = System.currentTimeMillis();
     final List<String> runs = new CopyOnWriteArrayList<>();
     volatile Behavior behavior;
-    volatile boolean isDraining;
     private final ServerSocket server;
+    private final List<Socket> connections = new CopyOnWriteArrayList<>();
 
     Target(String id, String host, Behavior behavior) throws IOException {
         this.id = id;
@@ -31,11 +31,18 @@
             while (true) {
                 Socket socket = server.accept();
                 socket.setTcpNoDelay(true);
+                connections.add(socket);
                 Threads.start(id + "-connection", () -> serve(socket));
             }
         });
     }
 
+    /** Ends the target: it closes its port and its connections, also under requests. */
+    synchronized void end() throws IOException {
+        server.close();
+        for (Socket socket : connections) socket.close();
+    }
+
     String entry(String service, String zone, int slots, String state) {
         return "{\"service\":\"" + service + "\",\"address\":\"" + server.getInetAddress().getHostAddress() + ":"
             + server.getLocalPort() + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":" + slots
