--- a/review/standins/src/review/Configs.java
+++ b/review/standins/src/review/Configs.java
@@ -17,7 +17,7 @@
             + "\"latency_goal\":\"500ms\",\"priority\":2,\"service\":\"" + safeService + "\",\"max_attempts\":2,\"sticky\":false,\"home_regions\":[]},"
             + "{\"name\":\"r-once\",\"host\":\"a.example\",\"path_prefix\":\"/once/\",\"kind\":\"non_idempotent\",\"timeout\":\"5000ms\","
             + "\"latency_goal\":\"500ms\",\"priority\":1,\"service\":\"beta\",\"max_attempts\":2,\"sticky\":false,\"home_regions\":[]}],"
-            + "\"services\":[" + service("alpha") + "," + service("beta") + "],"
+            + "\"services\":[" + service("alpha") + "," + service("beta") + "," + service("gamma") + "],"
             + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}}";
     }
 
--- a/review/standins/src/review/Gateway.java
+++ b/review/standins/src/review/Gateway.java
@@ -50,6 +50,8 @@
         builder.environment().put("ANVILSHED_NODE_FILE", settings.toString());
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
         process = builder.start();
+        // Also ends the process if the case itself is ended from outside.
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
     }
 
     /** Waits until the process says that it is ready; returns whether it did in [seconds]. */
