--- a/review/standins/src/review/Gateway.java
+++ b/review/standins/src/review/Gateway.java
@@ -86,10 +86,6 @@
         return process.waitFor(millis, TimeUnit.MILLISECONDS);
     }
 
-    long pid() {
-        return process.pid();
-    }
-
     boolean isRunning() {
         return process.isAlive();
     }
