--- a/review/standins/src/review/Case.java
+++ b/review/standins/src/review/Case.java
@@ -20,25 +20,25 @@
         }
     }
 
-    private static final int HELD = 0;
-    private static final int BROKEN = 1;
+    private static final int HELD = 10;
+    private static final int BROKEN = 11;
     private static final int NOT_RUN = 2;
 
     private Case() {
     }
 
-    /** Plays a case whose record goes to the folder that is the first of [args], and exits. */
+    /** Plays a case whose record goes to the file that is the first of [args], and exits. */
     static void main(String[] args, Play play) throws IOException {
         Path folder = Files.createTempDirectory("review-case");
         boolean withTrouble = !"0".equals(System.getenv("TROUBLE"));
         int status;
-        try (Record record = new Record(Path.of(args[0], "record.txt"))) {
+        try (Record record = new Record(Path.of(args[0]))) {
             record.line("%s the disruption", withTrouble ? "with" : "without");
             try {
                 boolean held = play.run(folder, record, withTrouble);
                 record.line("the rule %s", held ? "held" : "was broken");
                 status = held ? HELD : BROKEN;
-            } catch (Exception fault) {
+            } catch (Exception | Error fault) {
                 record.line("the case could not run: %s", fault);
                 status = NOT_RUN;
             }
@@ -51,6 +51,12 @@
         System.exit(status);
     }
 
+    /** Loopback address [number]; plays at the same time need a LOOPBACK each. */
+    static String host(int number) {
+        String network = System.getenv("LOOPBACK");
+        return "127.0." + (network == null ? "0" : network) + "." + number;
+    }
+
     static void require(boolean holds, String message) throws CannotRun {
         if (!holds) throw new CannotRun(message);
     }
