--- a/review/standins/src/review/CutsFromTheStore.java
+++ b/review/standins/src/review/CutsFromTheStore.java
@@ -21,7 +21,7 @@
 
     public static void main(String[] args) throws Exception {
         Case.main(args, (folder, record, withTrouble) -> {
-            String[] hosts = {"127.0.0.51", "127.0.0.52"};
+            String[] hosts = {Case.host(51), Case.host(52)};
             String seeds = hosts[0] + ":8382," + hosts[1] + ":8382";
             AtomicInteger byOldService = new AtomicInteger();
             AtomicInteger late = new AtomicInteger();
@@ -49,8 +49,6 @@
                         }
                         for (int spent = 0; spent < CUT_MILLIS; spent += CHANGE_GAP_MILLIS) {
                             store.put("config", "main", Configs.plain(version += 3));
-                            store.put("servers", "i-other-" + spent % 5,
-                                staying.entry("other", "nbo-b", 3 + round + spent % 2, "ready"));
                             Thread.sleep(CHANGE_GAP_MILLIS);
                         }
                         if (withTrouble) {
