--- a/review/standins/src/review/SecondSigterm.java
+++ b/review/standins/src/review/SecondSigterm.java
@@ -14,8 +14,8 @@
 
     public static void main(String[] args) throws Exception {
         Case.main(args, (folder, record, withTrouble) -> {
-            String first = "127.0.0.21";
-            String second = "127.0.0.22";
+            String first = Case.host(21);
+            String second = Case.host(22);
             String seeds = first + ":8382," + second + ":8382";
             AtomicInteger cut = new AtomicInteger();
             AtomicInteger answered = new AtomicInteger();
