--- a/review/standins/src/review/SilentStoreConnections.java
+++ b/review/standins/src/review/SilentStoreConnections.java
@@ -14,8 +14,8 @@
 
     public static void main(String[] args) throws Exception {
         Case.main(args, (folder, record, withTrouble) -> {
-            String first = "127.0.0.41";
-            String second = "127.0.0.42";
+            String first = Case.host(41);
+            String second = Case.host(42);
             String seeds = first + ":8382," + second + ":8382";
             AtomicInteger late = new AtomicInteger();
             AtomicInteger lost = new AtomicInteger();
