--- a/review/standins/src/review/LossOfAZone.java
+++ b/review/standins/src/review/LossOfAZone.java
@@ -23,8 +23,8 @@
 
     public static void main(String[] args) throws Exception {
         Case.main(args, (folder, record, withTrouble) -> {
-            String staying = "127.0.0.81";
-            String[] lost = {"127.0.0.82", "127.0.0.83", "127.0.0.84"};
+            String staying = Case.host(81);
+            String[] lost = {Case.host(82), Case.host(83), Case.host(84)};
             String seeds = staying + ":8382," + lost[0] + ":8382," + lost[1] + ":8382";
             AtomicInteger answered = new AtomicInteger();
             AtomicInteger atTimeout = new AtomicInteger();
