Store calls: close the connection of a call that is given up before it has one

Callers saw: after a VM was cut off from the store a few times while configs changed, its routes and targets stayed as they were. Requests went to the old service of a route that had moved (CONFIG) and bookings to a target that had left (DRAIN, 502), until the VM was restarted.

Cause: PlatformStore.call could reset only a request that the pool had already delivered. A call that was cancelled or timed out while it waited for a connection left its future behind; the pool later gave a connection to it that was never sent on, never closed and never free again. Six of them and the VM makes no call any more. StoreFeed.adopt cancels a watch with each newer copy of a peer, so a VM that is cut off under changes loses them quickly.

Evidence: AbandonedCallsTest on: "watches that are cancelled while their connections are opened" and "calls that time out while they wait for a connection" failed, the tests of watches that were already sent passed. So the feed and the held-back bytes of the cut are ruled out.

Change: HttpClient.call owns a call from its opening to its end and closes the connection however the call ends without a whole response, also one that comes later. Obtaining a connection has its own limit. anvilshed_store_calls counts the calls that wait for a connection and for a response.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -55,7 +55,7 @@
     private val scope: CoroutineScope,
     settings: GatewaySettings,
     headerNames: RequestHeaderNames,
-    store: ObjectStore,
+    private val store: ObjectStore,
     decoders: StoreDecoders,
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
@@ -258,6 +258,7 @@
             rateLimitedTargets = serviceQueues.values.sumOf { it.pool.limitedTargetCount },
             suspendedRequests = crashes.suspendedCount(now),
             liveEntryVms = entryVms.live(now).size + 1,
+            storeCalls = store.pendingCalls,
         )
     }
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/GatewayMetrics.kt
@@ -37,6 +37,9 @@
         .help("Requests that are refused because targets ended while they had them.").register(registry)
     private val liveVms = Gauge.builder().name("anvilshed_live_entry_vms")
         .help("Entry VMs that this one hears, itself included.").register(registry)
+    private val storeCalls = Gauge.builder().name("anvilshed_store_calls")
+        .help("Calls to the store in progress by what they wait for: connection, response.")
+        .labelNames("waiting_for").register(registry)
 
     /** Counts a final response to a caller. */
     public fun countReply(reason: String): Unit = replies.labelValues(reason).inc()
@@ -57,11 +60,19 @@
     public fun observeLatency(waited: Duration): Unit = latency.observe(waited.toDouble(DurationUnit.SECONDS))
 
     /** Sets the gauges. */
-    public fun setGauges(queuedRequests: Int, rateLimitedTargets: Int, suspendedRequests: Int, liveEntryVms: Int) {
+    public fun setGauges(
+        queuedRequests: Int,
+        rateLimitedTargets: Int,
+        suspendedRequests: Int,
+        liveEntryVms: Int,
+        storeCalls: PendingCalls,
+    ) {
         queued.set(queuedRequests.toDouble())
         limitedTargets.set(rateLimitedTargets.toDouble())
         suspended.set(suspendedRequests.toDouble())
         liveVms.set(liveEntryVms.toDouble())
+        this.storeCalls.labelValues("connection").set(storeCalls.forConnection.toDouble())
+        this.storeCalls.labelValues("response").set(storeCalls.forResponse.toDouble())
     }
 
     /** Returns all metrics in the Prometheus text format. */
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerSnapshots.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerSnapshots.kt
@@ -11,15 +11,16 @@
 import io.vertx.core.json.DecodeException
 import io.vertx.core.json.JsonArray
 import io.vertx.core.json.JsonObject
-import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.withTimeoutOrNull
 import org.anvilshed.core.SocketAddress
+import org.anvilshed.gateway.call
 import org.anvilshed.gateway.store.StoreFeed
 import org.anvilshed.gateway.store.StoreKind
 import org.anvilshed.gateway.store.StoreListing
 import org.anvilshed.gateway.store.StoreObject
 import org.anvilshed.gateway.store.StoreRevision
 import java.io.IOException
+import java.util.concurrent.TimeoutException
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Serves this VM's copies of store objects to peers, and fetches copies from peers. */
@@ -43,16 +44,15 @@
     suspend fun fetchOrNull(control: SocketAddress, kind: StoreKind): StoreListing? = try {
         withTimeoutOrNull(CALL_TIMEOUT) {
             val options = RequestOptions().setMethod(HttpMethod.GET).setHost(control.host).setPort(control.port)
-                .setURI(pathOf(kind))
-            val body = client.request(options).coAwait().send().compose { response ->
-                response.body().map { bytes -> bytes.takeIf { response.statusCode() == OK } }
-            }
-            body.coAwait()?.let(::decode)
+                .setURI(pathOf(kind)).setConnectTimeout(CALL_TIMEOUT.inWholeMilliseconds)
+            client.call(options).takeIf { it.status == OK }?.let { decode(it.body) }
         }
     } catch (_: IOException) {
         null
     } catch (_: VertxException) {
         null
+    } catch (_: TimeoutException) {
+        null
     } catch (_: DecodeException) {
         null
     } catch (_: ClassCastException) {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/ObjectStore.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/ObjectStore.kt
@@ -1,6 +1,7 @@
 package org.anvilshed.gateway.store
 
 import io.vertx.core.json.JsonObject
+import org.anvilshed.gateway.PendingCalls
 import kotlin.time.Duration
 
 /** Kinds of store objects that entry VMs read or write. */
@@ -83,6 +84,9 @@
      */
     public val era: Long
 
+    /** Calls in progress, for the metrics. */
+    public val pendingCalls: PendingCalls
+
     /** Lists all objects of [kind]; with [staleAllowed] the listing may be several seconds old and is charged less. */
     public suspend fun list(kind: StoreKind, staleAllowed: Boolean = false): StoreResult<StoreListing>
 
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/InMemoryStore.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/InMemoryStore.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import org.anvilshed.gateway.PendingCalls
 import org.anvilshed.gateway.store.ObjectStore
 import org.anvilshed.gateway.store.StoreChanges
 import org.anvilshed.gateway.store.StoreEvent
@@ -39,6 +40,8 @@
     override var era = 0L
         private set
 
+    override val pendingCalls = PendingCalls()
+
     /** Content of the store at one time, for [restore]. */
     class Copy internal constructor(
         internal val objects: Map<Pair<StoreKind, String>, StoreObject>,
