Store: find connections that have gone silent by probing the store's revision

Callers saw: after the open connections to the store went silent, bookings were sent to a target that had left until it ended under them (DRAIN, 502); routes and evacuations would have been as old.

Cause: a watch on a silent connection looks like one without changes until its own limit of 12 s, and nothing else asked the store anything. The watches of all VMs end with the same change and begin again together, so no peer knows better.

Change: StoreProbe asks for the revision of the store after a fifth of the change limit (the least of drain, config_apply and evac) without a response. SilenceDetector in the core tells silent connections (a new one is answered, or the store has a revision of which no watch told) from a store that is away, and lets all watches begin again on new connections.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -16,6 +16,7 @@
 import org.anvilshed.core.ZoneName
 import org.anvilshed.core.fleet.CrashSuspicions
 import org.anvilshed.core.fleet.RegisteredTarget
+import org.anvilshed.core.fleet.SilenceDetector
 import org.anvilshed.core.fleet.StoreContact
 import org.anvilshed.core.fleet.TargetDirectory
 import org.anvilshed.core.fleet.TargetKey
@@ -41,6 +42,7 @@
 import org.anvilshed.gateway.requests.ServiceQueue
 import org.anvilshed.gateway.requests.fingerprintText
 import org.anvilshed.gateway.store.ObjectStore
+import org.anvilshed.gateway.store.StoreProbe
 import org.anvilshed.gateway.targets.TargetConnectionPool
 import kotlin.math.roundToInt
 import kotlin.time.Duration.Companion.milliseconds
@@ -139,6 +141,15 @@
     private val announcements =
         AnnouncementExchange({ this.settings }, entryVms, System.currentTimeMillis(), log, socket::send)
     private val catchUp = FeedCatchUp(scope, feeds.byKind, snapshots::fetchOrNull, { feeds.configVersion }, log)
+    private val probe = StoreProbe(
+        store,
+        feeds.byKind.values,
+        contact,
+        SilenceDetector { this.settings.changeLimit },
+        metrics,
+        log,
+        clock,
+    )
     private val registration = EntryVmRegistration(settings, store, entryVms, announcements, log)
 
     /** Whether callers may be sent to this VM: a config and targets were received, and the VM is not shutting down. */
@@ -151,6 +162,7 @@
         listen(settings.listen.control) { snapshots.handle(it) }
         callers.listen(settings.listen.callers)
         for (feed in feeds.byKind.values) scope.launch { feed.run() }
+        scope.launch { probe.run() }
         scope.launch { registration.run() }
         scope.launch { runTicks() }
         log.info("started", "vm" to settings.name.value, "zone" to settings.placement.zone.value)
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/GatewayMetrics.kt
@@ -40,6 +40,11 @@
     private val storeCalls = Gauge.builder().name("anvilshed_store_calls")
         .help("Calls to the store in progress by what they wait for: connection, response.")
         .labelNames("waiting_for").register(registry)
+    private val storeRenewals = Counter.builder().name("anvilshed_store_renewals_total")
+        .help("Times that all connections to the store were replaced because some had gone silent.").register(registry)
+
+    /** Counts a replacement of all connections to the store. */
+    public fun countStoreRenewal(): Unit = storeRenewals.inc()
 
     /** Counts a final response to a caller. */
     public fun countReply(reason: String): Unit = replies.labelValues(reason).inc()
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/GatewaySettings.kt
@@ -14,6 +14,7 @@
  * @property seeds control addresses of some entry VMs, which may be outdated or down.
  * @property reportPeriod interval at which targets renew their registrations in the store.
  * @property lookupTimeToLive how long callers may cache a lookup response.
+ * @property changeLimit time within which each change in the store must be in effect.
  * @property stopTimeout time from the stop signal until the process is killed.
  */
 public data class GatewaySettings(
@@ -25,6 +26,7 @@
     public val placement: PlacementSettings,
     public val reportPeriod: Duration,
     public val lookupTimeToLive: Duration,
+    public val changeLimit: Duration,
     public val stopTimeout: Duration,
 ) {
     /**
@@ -36,6 +38,7 @@
         placement = newer.placement.copy(zone = placement.zone, retryWindow = placement.retryWindow),
         reportPeriod = newer.reportPeriod,
         lookupTimeToLive = newer.lookupTimeToLive,
+        changeLimit = newer.changeLimit,
         stopTimeout = newer.stopTimeout,
     )
 }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/ObjectStore.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/ObjectStore.kt
@@ -97,6 +97,16 @@
      */
     public suspend fun watch(kind: StoreKind, revision: StoreRevision, wait: Duration): StoreResult<StoreChanges>
 
+    /**
+     * Returns the revision of the store, which may be several seconds old; costs a fraction of another call.
+     *
+     * Without a response within [timeout], the result is a silent [StoreResult.NoAnswer].
+     */
+    public suspend fun latestRevision(timeout: Duration): StoreResult<StoreRevision>
+
+    /** Makes all later calls use new connections; calls in progress go on. */
+    public fun renewConnections()
+
     /** Creates the object [name], or replaces its content regardless of its revision; returns the era of the store. */
     public suspend fun put(kind: StoreKind, name: String, content: JsonObject): StoreResult<Long>
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
@@ -53,6 +53,10 @@
     public var changedRevision: StoreRevision = StoreRevision.NONE
         private set
 
+    /** Store revision up to which all changes of the kind are known; [StoreRevision.NONE] before the first listing. */
+    public val verifiedRevision: StoreRevision
+        get() = maxOf(changedRevision, watchRevision)
+
     /** Whether all objects were received at least once, from the store or from a peer. */
     public val hasListing: Boolean
         get() = changedRevision != StoreRevision.NONE
@@ -68,7 +72,8 @@
         if (listing.revision > changedRevision) {
             log.info("feed-adopted", "kind" to kind, "from" to changedRevision, "to" to listing.revision)
             applyListing(listing)
-            watchJob?.cancel()
+            // The peer is ahead, so the watch may have gone silent.
+            watchAgain()
         } else if (kind == StoreKind.CONFIG) {
             val newer = listing.objects.filter(objects::takeNewerContent)
             if (newer.isEmpty()) return
@@ -81,6 +86,11 @@
     public fun checkEra() {
         if (watchRevision == StoreRevision.NONE || watchRevision.era >= store.era) return
         listAgainAfterRestore(store.era)
+        watchAgain()
+    }
+
+    /** Abandons the call in progress and starts another one, on a new connection. */
+    public fun watchAgain() {
         watchJob?.cancel()
     }
 
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayStoreTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayStoreTest.kt
@@ -107,6 +107,47 @@
             }
         }
 
+        // Guards against watches that wait for changes on connections that deliver nothing any more.
+        test("a target that leaves gets no more requests although the connections to the store have gone silent") {
+            GatewayTestbed().use { testbed ->
+                testbed.config(1)
+                testbed.target("target", target)
+                testbed.awaitReady()
+                Thread.sleep(500)
+                testbed.store.silenceOpenConnections()
+                testbed.target("target", target, draining = true)
+                Thread.sleep(testbed.settings.changeLimit.inWholeMilliseconds)
+                testbed.call("/safe/").status shouldBe 503
+            }
+        }
+
+        test("while the store is quiet, connections are not renewed") {
+            GatewayTestbed().use { testbed ->
+                testbed.config(1)
+                testbed.target("target", target)
+                testbed.awaitReady()
+                Thread.sleep(1_000)
+                val renewals = testbed.store.renewals
+                Thread.sleep(3_000)
+                testbed.store.renewals shouldBe renewals
+            }
+        }
+
+        test("a store that responds to nothing is lost, and its return is noticed within the change limit") {
+            GatewayTestbed().use { testbed ->
+                testbed.config(1)
+                testbed.target("target", target)
+                testbed.awaitReady()
+                testbed.store.isDown = true
+                Thread.sleep(2_000)
+                testbed.call("/safe/").status shouldBe 200
+                testbed.target("target", target, draining = true)
+                testbed.store.isDown = false
+                Thread.sleep(testbed.settings.changeLimit.inWholeMilliseconds)
+                testbed.call("/safe/").status shouldBe 503
+            }
+        }
+
         test("lookups return a VM while it accepts callers and no longer once it stops") {
             val peerPort = GatewayTestbed.freePort()
             val store = InMemoryStore()
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
@@ -130,6 +130,7 @@
         ),
         reportPeriod = 1500.milliseconds,
         lookupTimeToLive = 200.milliseconds,
+        changeLimit = 2500.milliseconds,
         stopTimeout = 3.seconds,
     )
     private val failures = CopyOnWriteArrayList<Throwable>()
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/InMemoryStore.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/InMemoryStore.kt
@@ -2,6 +2,7 @@
 
 import io.vertx.core.json.JsonObject
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.anvilshed.gateway.PendingCalls
@@ -36,6 +37,20 @@
     @Volatile
     var areWatchesStalled = false
 
+    /** Number of times that connections were renewed. */
+    @Volatile
+    var renewals = 0
+        private set
+
+    /** Calls that were made before this many renewals get no response. */
+    @Volatile
+    private var silentRenewals = 0
+
+    /** Calls on the open connections get no response, until the caller renews its connections. */
+    fun silenceOpenConnections() {
+        silentRenewals = renewals + 1
+    }
+
     @Volatile
     override var era = 0L
         private set
@@ -78,7 +93,35 @@
         history.removeIf { it.event.changed.revision.number > copy.revision }
     }
 
-    override suspend fun list(kind: StoreKind, staleAllowed: Boolean): StoreResult<StoreListing> {
+    override suspend fun latestRevision(timeout: Duration): StoreResult<StoreRevision> {
+        val result = withTimeoutOrNull(timeout) {
+            answer { if (isDown) StoreResult.Refused(503) else StoreResult.Success(synchronized(lock) { latest() }) }
+        }
+        return result ?: StoreResult.NoAnswer("no answer", isSilent = true)
+    }
+
+    override fun renewConnections() {
+        renewals++
+    }
+
+    /** Returns what [call] returns, unless the connection has gone silent before the end of the call. */
+    private suspend fun <T> answer(call: suspend () -> T): T {
+        val connection = renewals
+        val result = call()
+        if (connection < silentRenewals) awaitCancellation()
+        return result
+    }
+
+    private fun latest() = StoreRevision(era, revision)
+
+    override suspend fun list(kind: StoreKind, staleAllowed: Boolean): StoreResult<StoreListing> = answer {
+        listObjects(kind, staleAllowed)
+    }
+
+    override suspend fun watch(kind: StoreKind, revision: StoreRevision, wait: Duration): StoreResult<StoreChanges> =
+        answer { watchObjects(kind, revision, wait) }
+
+    private fun listObjects(kind: StoreKind, staleAllowed: Boolean): StoreResult<StoreListing> {
         if (!staleAllowed) calls++
         if (isDown) return StoreResult.Refused(503)
         return synchronized(lock) {
@@ -87,13 +130,17 @@
                     objects.filterKeys {
                         it.first == kind
                     }.values.toList(),
-                    StoreRevision(era, revision),
+                    latest(),
                 ),
             )
         }
     }
 
-    override suspend fun watch(kind: StoreKind, revision: StoreRevision, wait: Duration): StoreResult<StoreChanges> {
+    private suspend fun watchObjects(
+        kind: StoreKind,
+        revision: StoreRevision,
+        wait: Duration,
+    ): StoreResult<StoreChanges> {
         calls++
         if (areWatchesStalled) delay(wait)
         if (isDown) return StoreResult.Refused(503)
