Memory budgets of bodies: count what is allocated, not what is filled

Cause: bodies were held in a buffer that grows by doubling, while the budgets counted its length, so that 32 MiB of bodies took up to 64 MiB of a heap of 194 MiB.

Change: HeldBytes holds a body in blocks and reserves each block; chunks of one byte share blocks instead of costing an object each.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerRequest.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerRequest.kt
@@ -8,6 +8,7 @@
 import io.vertx.core.http.HttpMethod
 import kotlinx.coroutines.CompletableDeferred
 import org.anvilshed.core.MonotonicTime
+import org.anvilshed.gateway.HeldBytes
 import org.anvilshed.gateway.MemoryBudget
 
 /**
@@ -80,8 +81,8 @@
     /** Whether the response was written, or the request ended without one. */
     var isEnded = false
         private set
-    private val received = Buffer.buffer()
     private val bodyReservation = bodyMemory.newReservation()
+    private val received = HeldBytes(bodyReservation)
 
     init {
         // The length of an invalid head may be no number.
@@ -119,9 +120,8 @@
     fun receiveBody(chunk: ByteArray) {
         if (body.isCompleted || chunk.isEmpty()) return
         when {
-            received.length() + chunk.size > maximumBodyBytes -> body.complete(BodyResult.TooLong)
-            !bodyReservation.tryGrow(chunk.size) -> body.complete(BodyResult.NoMemory)
-            else -> received.appendBytes(chunk)
+            received.length + chunk.size > maximumBodyBytes -> body.complete(BodyResult.TooLong)
+            !received.tryAppend(Buffer.buffer(chunk)) -> body.complete(BodyResult.NoMemory)
         }
         if (body.isCompleted) releaseBody()
     }
@@ -129,7 +129,7 @@
     /** Records that the whole request was read; [isValid] is `false` if its body is malformed. */
     fun bodyEnded(isValid: Boolean) {
         isBodyEnded = isValid
-        val result = if (isValid) BodyResult.Read(received.takeIf { it.length() > 0 }) else BodyResult.Broken
+        val result = if (isValid) BodyResult.Read(received.takeIf { it.length > 0 }?.toBuffer()) else BodyResult.Broken
         body.complete(result)
     }
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
@@ -248,7 +248,7 @@
         exchange.forwarded?.streamedStatus = source.statusCode()
         var isComplete = false
         try {
-            stream.write(result.head)
+            result.head.forEach(stream::write)
             source.handler { chunk ->
                 stream.write(chunk)
                 if (stream.isFull) {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
@@ -10,6 +10,7 @@
 import org.anvilshed.core.placement.LoadReport
 import org.anvilshed.core.placement.RateLimitStatement
 import org.anvilshed.core.placement.parsePauseOrNull
+import org.anvilshed.gateway.HeldBytes
 import org.anvilshed.gateway.MemoryBudget
 import org.anvilshed.gateway.RequestHeaderNames
 import kotlin.time.Duration
@@ -38,10 +39,10 @@
      * Start of a response that is too large to buffer.
      *
      * @property response the response, paused after [head].
-     * @property head bytes of the body that were already read.
+     * @property head parts of the body that were already read.
      * @property ended completes with `true` after the whole body, and with `false` if the response ends early.
      */
-    class Large(val response: HttpClientResponse, val head: Buffer, val ended: CompletableDeferred<Boolean>) :
+    class Large(val response: HttpClientResponse, val head: List<Buffer>, val ended: CompletableDeferred<Boolean>) :
         ExchangeResult
 
     /** The target reported that it did not run the request. */
@@ -134,7 +135,7 @@
             }
         }
         val report = parseLoadReport(response.getHeader(headerNames.targetLoad))
-        val body = Buffer.buffer()
+        val body = HeldBytes(responseMemory)
         var failure: String? = null
         response.exceptionHandler {
             failure = it.toString()
@@ -142,12 +143,10 @@
             largeBodyEnded.complete(false)
         }
         response.handler { chunk ->
-            val isHeld =
-                body.length() + chunk.length() <= BUFFER_LIMIT_BYTES && responseMemory.tryGrow(chunk.length())
-            body.appendBuffer(chunk)
+            val isHeld = body.length + chunk.length() <= BUFFER_LIMIT_BYTES && body.tryAppend(chunk)
             if (!isHeld && !result.isCompleted) {
                 response.pause()
-                result.complete(ExchangeResult.Large(response, body, largeBodyEnded))
+                result.complete(ExchangeResult.Large(response, body.parts + chunk, largeBodyEnded))
             }
         }
         response.endHandler {
@@ -155,7 +154,7 @@
                 response.getHeader("Content-Length") != null || response.getHeader("Transfer-Encoding") != null
             isResponseReusable = hasFraming && failure == null && keepsConnectionOpen(response)
             largeBodyEnded.complete(failure == null)
-            if (failure == null) result.complete(completed(response, body, report))
+            if (failure == null) result.complete(completed(response, body.toBuffer(), report))
         }
     }
 
