Stop: send no request that can't be answered before the process ends

What is unfinished at the end is answered, with 504 if a target has it and 503 if none does, instead of cut.

--- a/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/placement/ServicePool.kt
@@ -164,11 +164,13 @@
     }
 
     /** Returns the time after the send of [inFlight] at which its answer is so late that the target may have failed. */
-    public fun answerTimeout(inFlight: InFlightRequest): Duration {
-        val processingTime = estimates.expected(inFlight.request.workloadClass, cachedProbability = 0.0)
-        return (processingTime * ANSWER_TIMEOUT_FACTOR + roundTripTime(inFlight.load.target.zone))
+    public fun answerTimeout(inFlight: InFlightRequest): Duration =
+        (longestProcessingTime(inFlight.request.workloadClass) + roundTripTime(inFlight.load.target.zone))
             .coerceAtLeast(MINIMUM_ANSWER_TIMEOUT)
-    }
+
+    /** Returns the time within which a sound target has processed nearly every request of [workloadClass]. */
+    public fun longestProcessingTime(workloadClass: WorkloadClass): Duration =
+        estimates.expected(workloadClass, cachedProbability = 0.0) * ANSWER_TIMEOUT_FACTOR
 
     /**
      * Decides about a waiting request: it goes to its best target, or to any with room once it has expired.
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -20,6 +20,7 @@
 import org.anvilshed.core.fleet.StoreContact
 import org.anvilshed.core.fleet.TargetDirectory
 import org.anvilshed.core.fleet.TargetKey
+import org.anvilshed.core.lifecycle.StopDeadline
 import org.anvilshed.core.placement.PlacementSettings
 import org.anvilshed.core.placement.ServicePool
 import org.anvilshed.core.placement.SharedRetryBudget
@@ -78,6 +79,9 @@
     private val eventLoopMonitor = EventLoopMonitor(clock)
     private var isLeaving = false
 
+    /** End of this VM, once it shuts down. */
+    private var stopDeadline: StopDeadline? = null
+
     /** Number of VMs that share limits, counted with each slow tick and when a VM appears. */
     private var participantCount = 1
     private var isAnnouncedLoadStale = false
@@ -121,6 +125,7 @@
         members = { participantCount },
         connectionLimit = ::connectionLimit,
         connectTimeout = { roundTripTimes.estimate(it.zone) * CONNECT_ROUND_TRIPS + MINIMUM_CONNECT_TIME },
+        stopDeadline = { stopDeadline },
     )
     private val handler = CallerRequestHandler(scope, state, forwarder, headerNames, log, metrics, clock)
     private val callers = CallerServer(
@@ -208,6 +213,7 @@
         val stopAt = clock() + settings.stopTimeout - STOP_MARGIN
         val servesUntil = clock() + settings.lookupTimeToLive + LOOKUP_IN_TRANSIT_TIME
         isLeaving = true
+        stopDeadline = StopDeadline(stopAt)
         log.info("leaving", "active_requests" to handler.activeCount, "connections" to callers.connectionCount)
         announceNow()
         scope.launch { registration.withdraw() }
@@ -215,7 +221,11 @@
         // Callers with outdated lookup answers would otherwise keep this VM busy until it is killed.
         callers.stopAccepting()
         while ((callers.isBusy || handler.activeCount > 0) && clock() < stopAt) delay(STOP_POLL_PERIOD)
-        log.info("stopped", "unfinished_requests" to handler.activeCount)
+        val unfinished = handler.activeCount
+        handler.endAll()
+        val flushedUntil = clock() + LAST_RESPONSES_TIME
+        while ((callers.isBusy || handler.activeCount > 0) && clock() < flushedUntil) delay(STOP_POLL_PERIOD)
+        log.info("stopped", "unfinished_requests" to unfinished)
     }
 
     private class EntryVm(val callers: SocketAddress, val zone: ZoneName)
@@ -224,7 +234,7 @@
         if (isReady) listOf(EntryVm(settings.listen.callers, settings.placement.zone)) else emptyList()
 
     private fun serveCaller(request: CallerRequest) {
-        if (callers.isAccepting) handler.handle(request) else handler.refuse(request, "leaving")
+        if (callers.isAccepting) handler.handle(request) else handler.refuseLeaving(request)
     }
 
     private fun connectionLimit(service: ServiceName): Int {
@@ -399,9 +409,13 @@
         /** The process must end this long before it would be killed. */
         val STOP_MARGIN = 400.milliseconds
 
+        /** For writing the responses to requests that are unfinished at the end; half of the margin. */
+        val LAST_RESPONSES_TIME = STOP_MARGIN / 2
+
         /** A caller may still connect this long after a lookup response has expired. */
         val LOOKUP_IN_TRANSIT_TIME = 500.milliseconds
         const val LOOKUP_ADDRESS_LIMIT = 64
+
         const val MAXIMUM_HEADER_BYTES = 65_536
         const val CONNECT_ROUND_TRIPS = 3
         val MINIMUM_CONNECT_TIME = 150.milliseconds
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/WarmUp.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/WarmUp.kt
@@ -121,6 +121,7 @@
             members = { 1 },
             connectionLimit = { CONCURRENCY },
             connectTimeout = { 1.seconds },
+            stopDeadline = { null },
         )
         val state = IngressState().apply { replace(config()) }
         val handler = CallerRequestHandler(scope, state, forwarder, headerNames, log, metrics, clock)
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
@@ -3,10 +3,13 @@
 import io.netty.handler.codec.TooLongFrameException
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpHeaders
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.coroutines.yield
 import org.anvilshed.core.MonotonicTime
@@ -46,29 +49,43 @@
     private val clock: MonotonicClock,
 ) {
     private val responseMemoryBudget = MemoryBudget(RESPONSE_MEMORY_BYTES)
+    private val active = HashMap<CallerExchange, Job>()
     private val usualDeadlines = HashMap<WorkloadClass, TimeLimitEstimator>()
 
     /** Number of requests in progress. */
-    var activeCount = 0
-        private set
+    val activeCount: Int
+        get() = active.size
 
     /** Serves [request]; must be called in the event loop iteration in which the request arrived. */
     fun handle(request: CallerRequest): Unit = launch(request) { replyTo(it) }
 
-    /** Refuses [request] for [reason]; its caller may try another VM at once. */
-    fun refuse(request: CallerRequest, reason: String): Unit =
-        launch(request) { Reply.NotRun(SERVICE_UNAVAILABLE, reason, OTHER_VM_RETRY_AFTER) }
+    /** Refuses [request] because this VM shuts down. */
+    fun refuseLeaving(request: CallerRequest): Unit = launch(request) { Reply.leaving() }
+
+    /** Ends all requests in progress with a response of this VM, which says whether they may have run. */
+    fun endAll() {
+        for ((exchange, job) in active.toList()) {
+            exchange.endsWithStop = true
+            job.cancel()
+        }
+    }
 
     private fun launch(request: CallerRequest, decide: suspend (CallerExchange) -> Reply) {
-        activeCount++
         val exchange = CallerExchange(request)
         val job = scope.launch(start = CoroutineStart.LAZY) {
             // Lets a connection close that was read together with the request be handled first, which cancels the job.
             yield()
-            writeReply(exchange, decide(exchange))
+            val reply = try {
+                decide(exchange)
+            } catch (cancelled: CancellationException) {
+                if (!exchange.endsWithStop) throw cancelled
+                null
+            }
+            if (reply != null) writeReply(exchange, reply) else writeLastReply(exchange)
         }
+        active[exchange] = job
         job.invokeOnCompletion {
-            activeCount--
+            active.remove(exchange)
             request.releaseBody()
             exchange.responseMemory.release()
         }
@@ -83,6 +100,9 @@
         val route: IngressRoute? = active?.routes?.findOrNull(request.header("Host").orEmpty(), request.path)
         val responseMemory = responseMemoryBudget.newReservation()
         var forwarded: ForwardedRequest? = null
+
+        /** Whether this VM stops before the response of the target has arrived. */
+        var endsWithStop = false
     }
 
     private fun cancel(exchange: CallerExchange, job: Job, end: RequestEnd) {
@@ -198,6 +218,10 @@
         }
     }
 
+    private suspend fun writeLastReply(exchange: CallerExchange) = withContext(NonCancellable) {
+        writeReply(exchange, exchange.forwarded?.let(::timedOut) ?: Reply.leaving())
+    }
+
     private suspend fun writeReply(exchange: CallerExchange, reply: Reply) {
         logReply(exchange, reply, clock() - exchange.arrivedAt)
         val isDelivered = when (reply) {
@@ -318,9 +342,6 @@
         const val RETRY_JITTER_FACTOR = 1.5
         const val MILLISECONDS_PER_SECOND = 1000.0
 
-        /** Time for the caller to open a connection to another VM. */
-        val OTHER_VM_RETRY_AFTER = 10.milliseconds
-
         /** A VM that has just started receives its config within about this time. */
         val DEFAULT_RETRY_AFTER = 200.milliseconds
     }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/Reply.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/Reply.kt
@@ -2,6 +2,7 @@
 
 import org.anvilshed.gateway.targets.ExchangeResult
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Final response to a caller. */
 internal sealed interface Reply {
@@ -32,4 +33,14 @@
      * @property reason value of the error field, and label of the metric.
      */
     class Failed(val status: Int, val reason: String) : Reply
+
+    companion object {
+        private const val SERVICE_UNAVAILABLE = 503
+
+        /** Time for the caller to open a connection to another VM. */
+        private val OTHER_VM_RETRY_AFTER = 10.milliseconds
+
+        /** This VM shuts down and did not send the request to any target; another VM may serve it at once. */
+        fun leaving(): Reply = NotRun(SERVICE_UNAVAILABLE, "leaving", OTHER_VM_RETRY_AFTER)
+    }
 }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
@@ -8,6 +8,7 @@
 import org.anvilshed.core.ServiceName
 import org.anvilshed.core.fleet.CrashSuspicions
 import org.anvilshed.core.fleet.RegisteredTarget
+import org.anvilshed.core.lifecycle.StopDeadline
 import org.anvilshed.core.placement.Placement
 import org.anvilshed.core.placement.PlacementRequest
 import org.anvilshed.core.placement.RateLimitStatement
@@ -85,6 +86,7 @@
  * @param onTargetLeaving called with a target whose response says that it shuts down.
  * @param members number of VMs that share the retry budgets.
  * @param connectionLimit most connections of this VM to one target of a service.
+ * @param stopDeadline end of this VM, or `null` unless it shuts down.
  * @param connectTimeout time limit for opening a connection to a target.
  */
 internal class RequestForwarder(
@@ -100,6 +102,7 @@
     private val members: () -> Int,
     private val connectionLimit: (ServiceName) -> Int,
     private val connectTimeout: (RegisteredTarget) -> Duration,
+    private val stopDeadline: () -> StopDeadline?,
 ) {
     /** Forwards [request] and returns the final reply to its caller. */
     suspend fun forward(request: ForwardedRequest): Reply {
@@ -110,6 +113,7 @@
         var connectFailures = 0
         while (true) {
             if (isSuspended(request)) return crashesTargets()
+            if (!endsBeforeStop(queue, request)) return lastFailure ?: Reply.leaving()
             val placement = place(queue, request)
             if (placement is Placement.Refuse) return lastFailure ?: refuse(placement)
             val send = placement as Placement.Send
@@ -121,6 +125,8 @@
                     lastFailure = attempt.reply
                 }
 
+                AttemptResult.TooLate -> return lastFailure ?: Reply.leaving()
+
                 AttemptResult.NotSent ->
                     if (++connectFailures >= CONNECT_FAILURE_LIMIT) return lastFailure ?: notRun("target-unreachable")
             }
@@ -148,6 +154,12 @@
     /** An earlier attempt of the request may have run, so the reply promises nothing and invites to no repetition. */
     private fun crashesTargets(): Reply = Reply.Failed(BAD_GATEWAY, "crashes-targets")
 
+    private fun endsBeforeStop(queue: ServiceQueue, request: ForwardedRequest): Boolean {
+        val stop = stopDeadline() ?: return true
+        val longestTime = queue.pool.longestProcessingTime(request.placement.workloadClass)
+        return stop.allowsSend(request.placement.deadline, longestTime, clock())
+    }
+
     private fun exclude(request: ForwardedRequest, send: Placement.Send) {
         request.placement = request.placement.copy(excluded = request.placement.excluded + send.target.key)
     }
@@ -169,6 +181,9 @@
         /** Failure with [reply] after which another target may be tried. */
         class Retryable(val reply: Reply, val reason: String) : AttemptResult
 
+        /** The request was not sent, because this VM ends before the response could arrive. */
+        data object TooLate : AttemptResult
+
         /** The request was not sent to the target. */
         data object NotSent : AttemptResult
     }
@@ -193,6 +208,10 @@
                 connections.release(send.target.key, connection)
                 return AttemptResult.NotSent
             }
+            if (!endsBeforeStop(queue, request)) {
+                connections.release(send.target.key, connection)
+                return AttemptResult.TooLate
+            }
             if (isSuspended(request)) {
                 connections.release(send.target.key, connection)
                 return AttemptResult.Final(crashesTargets())
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayStopTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayStopTest.kt
@@ -9,6 +9,8 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.concurrent.thread
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 class GatewayStopTest :
     FunSpec({
@@ -51,6 +53,68 @@
             target.close()
         }
 
+        // Guards against requests that are sent to a target late in the stop and cut at its end.
+        test("during a stop, each request that reaches a target is answered, and a refused one reaches none") {
+            val target = ScriptedTarget { request, socket ->
+                Thread.sleep(100L + 1_500L * (request.id.hashCode() and 7) / 7)
+                ScriptedTarget.respond(socket, request, body = request.id)
+            }
+            GatewayTestbed(stopTimeout = 2.seconds).use { testbed ->
+                testbed.config(1)
+                testbed.target("target", target)
+                testbed.awaitReady()
+                val statuses = ConcurrentHashMap<String, Int>()
+                val isStopped = AtomicBoolean()
+
+                fun send(id: String, path: String, method: String) {
+                    val response = runCatching { testbed.call(path, id = id, method = method) }.getOrNull() ?: return
+                    if (response.complete) statuses[id] = response.status
+                }
+                val senders = List(12) { sender ->
+                    thread {
+                        var number = 0
+                        while (!isStopped.get()) {
+                            val id = "$sender-${number++}"
+                            if (sender % 2 == 0) send(id, "/safe/", "GET") else send(id, "/once/", "POST")
+                            Thread.sleep(20)
+                        }
+                    }
+                }
+                await { target.received.size >= 8 }
+                testbed.onEventLoop { testbed.gateway.stop() }
+                // The process ends here.
+                val forwarded = target.received.map { it.id }.toSet()
+                val answered = statuses.toMap()
+                isStopped.set(true)
+                senders.forEach { it.join(5_000) }
+                forwarded - answered.keys shouldBe emptySet()
+                answered.filterValues { it == 503 }.keys intersect forwarded shouldBe emptySet()
+            }
+            target.close()
+        }
+
+        test("a request whose response would come after the end is refused at once") {
+            val target = ScriptedTarget { request, socket ->
+                Thread.sleep(1_000)
+                ScriptedTarget.respond(socket, request)
+            }
+            GatewayTestbed(stopTimeout = 1500.milliseconds).use { testbed ->
+                testbed.config(1)
+                testbed.target("target", target)
+                testbed.awaitReady()
+                val stopping = testbed.stopInBackground()
+                await { !testbed.onEventLoop { testbed.gateway.isReady } }
+                for ((path, method) in listOf("/safe/" to "GET", "/once/" to "POST")) {
+                    val response = testbed.call(path, method = method)
+                    response.status shouldBe 503
+                    response.body shouldBe "{\"error\":\"leaving\"}"
+                }
+                target.received.size shouldBe 0
+                stopping.get()
+            }
+            target.close()
+        }
+
         // Guards against a process that is killed while callers keep sending it requests.
         test("callers that keep sending during the stop can't delay it, and every forwarded request is answered") {
             val target = ScriptedTarget { request, socket ->
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
@@ -111,6 +111,7 @@
     peerPort: Int = freePort(),
     private val vertx: Vertx = Vertx.vertx(),
     start: Boolean = true,
+    stopTimeout: Duration = 3.seconds,
 ) : AutoCloseable {
     val settings = GatewaySettings(
         name = VmName(name),
@@ -131,7 +132,7 @@
         reportPeriod = 1500.milliseconds,
         lookupTimeToLive = 200.milliseconds,
         changeLimit = 2500.milliseconds,
-        stopTimeout = 3.seconds,
+        stopTimeout = stopTimeout,
     )
     private val failures = CopyOnWriteArrayList<Throwable>()
     private val scope = CoroutineScope(
