Stop: a second SIGTERM waits for the requests in progress

Cause: Gateway.stop returned at once if a stop was in progress, and the second signal handler then ended the process.

Evidence: GatewayStopTest "a second stop waits for the requests in progress like the first one" failed on (the request was not answered when stop returned).

Change: a further call of stop waits for the end of the first one.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.PoolOptions
 import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -78,6 +79,7 @@
     private val serviceQueues = HashMap<ServiceName, ServiceQueue>()
     private val eventLoopMonitor = EventLoopMonitor(clock)
     private var isLeaving = false
+    private val stopped = CompletableDeferred<Unit>()
 
     /** End of this VM, once it shuts down. */
     private var stopDeadline: StopDeadline? = null
@@ -206,10 +208,11 @@
     /**
      * Prepares the end of the process: callers are directed to other VMs, and requests in progress may complete.
      *
-     * Returns once no request is in progress, at the latest shortly before [GatewaySettings.stopTimeout] has passed.
+     * Returns once no request is in progress, at the latest shortly before [GatewaySettings.stopTimeout] has passed. A
+     * further call waits for the end of the first one.
      */
     public suspend fun stop() {
-        if (isLeaving) return
+        if (isLeaving) return stopped.await()
         val stopAt = clock() + settings.stopTimeout - STOP_MARGIN
         val servesUntil = clock() + settings.lookupTimeToLive + LOOKUP_IN_TRANSIT_TIME
         isLeaving = true
@@ -226,6 +229,7 @@
         val flushedUntil = clock() + LAST_RESPONSES_TIME
         while ((callers.isBusy || handler.activeCount > 0) && clock() < flushedUntil) delay(STOP_POLL_PERIOD)
         log.info("stopped", "unfinished_requests" to unfinished)
+        stopped.complete(Unit)
     }
 
     private class EntryVm(val callers: SocketAddress, val zone: ZoneName)
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayStopTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayStopTest.kt
@@ -39,6 +39,33 @@
             target.close()
         }
 
+        // Guards against a process that ends at the second SIGTERM, with requests in progress.
+        test("a second stop waits for the requests in progress like the first one") {
+            val isAnswered = AtomicBoolean()
+            val target = ScriptedTarget { request, socket ->
+                Thread.sleep(800)
+                ScriptedTarget.respond(socket, request)
+                isAnswered.set(true)
+            }
+            GatewayTestbed().use { testbed ->
+                testbed.config(1)
+                testbed.target("target", target)
+                testbed.awaitReady()
+                testbed.connect().use { socket ->
+                    ScriptedTarget.write(socket, "POST /once/ HTTP/1.1\r\nHost: test.example\r\nX-Id: id-1\r\n\r\n")
+                    await { target.received.size == 1 }
+                    val first = testbed.stopInBackground()
+                    await { !testbed.onEventLoop { testbed.gateway.isReady } }
+                    testbed.onEventLoop { testbed.gateway.stop() }
+                    // The process ends here.
+                    isAnswered.get() shouldBe true
+                    testbed.readResponse(socket).status shouldBe 200
+                    first.get()
+                }
+            }
+            target.close()
+        }
+
         test("a stopping VM still serves callers that use an earlier lookup response") {
             val target = ScriptedTarget { request, socket -> ScriptedTarget.respond(socket, request) }
             GatewayTestbed().use { testbed ->
