--- a/gateway/src/test/kotlin/org/anvilshed/gateway/PipelinedRequestTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/PipelinedRequestTest.kt
@@ -1,5 +1,6 @@
 package org.anvilshed.gateway
 
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.collections.shouldHaveSize
@@ -106,7 +107,8 @@
                         "Content-Length: ${body.length}\r\n\r\n"
                     // The body arrives after the response to the request before it.
                     ScriptedTarget.write(socket, get("0") + head)
-                    testbed.readResponse(socket).body shouldBe "0"
+                    val first = testbed.readResponse(socket)
+                    withClue("${first.status} ${first.headers} complete=${first.complete}") { first.body shouldBe "0" }
                     ScriptedTarget.write(socket, body)
                     testbed.readResponse(socket).body shouldBe "1"
                 }
