Stop: deliver the responses that wait behind unfinished ones

At the end of a stop all jobs were cancelled, also those whose response was ready and waited for the ones to earlier requests of its connection, which then never came. Only requests without a response are ended now, and one that no target has is refused as leaving.

GatewayStopTest "at the end of a stop, unfinished requests are answered, and responses that waited behind them delivered" passes; it was not run without the change.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -225,7 +225,7 @@
         callers.stopAccepting()
         while ((callers.isBusy || handler.activeCount > 0) && clock() < stopAt) delay(STOP_POLL_PERIOD)
         val unfinished = handler.activeCount
-        handler.endAll()
+        handler.endUnanswered()
         val flushedUntil = clock() + LAST_RESPONSES_TIME
         while ((callers.isBusy || handler.activeCount > 0) && clock() < flushedUntil) delay(STOP_POLL_PERIOD)
         log.info("stopped", "unfinished_requests" to unfinished)
@@ -419,7 +419,6 @@
         /** A caller may still connect this long after a lookup response has expired. */
         val LOOKUP_IN_TRANSIT_TIME = 500.milliseconds
         const val LOOKUP_ADDRESS_LIMIT = 64
-
         const val MAXIMUM_HEADER_BYTES = 65_536
         const val CONNECT_ROUND_TRIPS = 3
         val MINIMUM_CONNECT_TIME = 150.milliseconds
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
@@ -62,9 +62,11 @@
     /** Refuses [request] because this VM shuts down. */
     fun refuseLeaving(request: CallerRequest): Unit = launch(request) { Reply.leaving() }
 
-    /** Ends all requests in progress with a response of this VM, which says whether they may have run. */
-    fun endAll() {
+    /** Ends the requests that have no response yet with one of this VM, which says whether they may have run. */
+    fun endUnanswered() {
         for ((exchange, job) in active.toList()) {
+            // A response may wait for those to earlier requests of its connection.
+            if (exchange.hasReply) continue
             exchange.endsWithStop = true
             job.cancel()
         }
@@ -81,6 +83,7 @@
                 if (!exchange.endsWithStop) throw cancelled
                 null
             }
+            exchange.hasReply = true
             if (reply != null) writeReply(exchange, reply) else writeLastReply(exchange)
         }
         active[exchange] = job
@@ -101,6 +104,9 @@
         val responseMemory = responseMemoryBudget.newReservation()
         var forwarded: ForwardedRequest? = null
 
+        /** Whether it is decided what the caller gets. */
+        var hasReply = false
+
         /** Whether this VM stops before the response of the target has arrived. */
         var endsWithStop = false
     }
@@ -219,7 +225,7 @@
     }
 
     private suspend fun writeLastReply(exchange: CallerExchange) = withContext(NonCancellable) {
-        writeReply(exchange, exchange.forwarded?.let(::timedOut) ?: Reply.leaving())
+        writeReply(exchange, exchange.forwarded?.takeIf { it.mayHaveRun }?.let(::timedOut) ?: Reply.leaving())
     }
 
     private suspend fun writeReply(exchange: CallerExchange, reply: Reply) {
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayStopTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayStopTest.kt
@@ -66,6 +66,34 @@
             target.close()
         }
 
+        test(
+            "at the end of a stop, unfinished requests are answered, and responses that waited behind them delivered",
+        ) {
+            val target = ScriptedTarget { request, socket ->
+                if (request.id == "slow") Thread.sleep(5_000)
+                ScriptedTarget.respond(socket, request, body = request.id)
+            }
+            GatewayTestbed(stopTimeout = 1500.milliseconds).use { testbed ->
+                testbed.config(1)
+                testbed.target("target", target)
+                testbed.awaitReady()
+                testbed.connect().use { socket ->
+                    fun send(id: String) =
+                        ScriptedTarget.write(socket, "GET /safe/ HTTP/1.1\r\nHost: test.example\r\nX-Id: $id\r\n\r\n")
+                    send("slow")
+                    send("quick")
+                    await { target.received.size == 2 }
+                    testbed.onEventLoop { testbed.gateway.stop() }
+                    // The process ends here.
+                    val first = testbed.readResponse(socket)
+                    first.status shouldBe 504
+                    first.headers["x-id"] shouldBe "slow"
+                    testbed.readResponse(socket).body shouldBe "quick"
+                }
+            }
+            target.close()
+        }
+
         test("a stopping VM still serves callers that use an earlier lookup response") {
             val target = ScriptedTarget { request, socket -> ScriptedTarget.respond(socket, request) }
             GatewayTestbed().use { testbed ->
