--- a/core/src/main/kotlin/org/anvilshed/core/fleet/SilenceDetector.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/fleet/SilenceDetector.kt
@@ -45,7 +45,7 @@
     public val timeout: Duration
         get() = changeLimit() / 5
 
-    /** Time for the event of a change that a probe has shown: it may be on its way, or a feed pauses between watches. */
+    /** Time for the event of a change that a probe has shown: it may be in transit, or a feed may pause. */
     private val grace: Duration
         get() = changeLimit() / 6
 
@@ -53,7 +53,7 @@
     public var isStoreLost: Boolean = false
         private set
 
-    /** Records a response to a probe at [now]; [isBehind] if the watches have not told of the revision that it states. */
+    /** Records a response to a probe at [now]; [isBehind] if no watch has told of the revision that it states. */
     public fun recordResponse(isBehind: Boolean, now: MonotonicTime): SilenceAction {
         val wasSilent = isSilent
         isSilent = false
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/HeldBytes.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/HeldBytes.kt
@@ -5,8 +5,8 @@
 /**
  * Bytes of a message that are held in memory while it arrives.
  *
- * Takes from the budget what is allocated, not only what is filled: a buffer that grows by doubling would need twice the
- * memory that its length tells. Confined to the event loop.
+ * Takes from the budget what is allocated, not only what is filled: a buffer that grows by doubling would need twice
+ * the memory that its length tells. Confined to the event loop.
  */
 internal class HeldBytes(private val memory: MemoryBudget.Reservation) {
     private val blocks = ArrayList<Buffer>()
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/HttpCall.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/HttpCall.kt
@@ -24,8 +24,8 @@
  * Sends a request with [options] and an optional [body], and returns the whole response.
  *
  * The call owns its connection until it ends. If it is cancelled or fails, the connection is closed, also one that the
- * client opens, or that becomes free in its pool, only later. A connection that an abandoned request keeps is never free
- * again, and a few of them exhaust the pool.
+ * client opens, or that becomes free in its pool, only later. A connection that an abandoned request keeps is never
+ * free again, and a few of them exhaust the pool.
  *
  * [RequestOptions.setConnectTimeout] bounds the time for obtaining a connection, also after the call was cancelled.
  *
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
@@ -112,8 +112,7 @@
         var lastFailure: Reply? = null
         var connectFailures = 0
         while (true) {
-            if (isSuspended(request)) return crashesTargets()
-            if (!endsBeforeStop(queue, request)) return lastFailure ?: Reply.leaving()
+            unsentReplyOrNull(queue, request, lastFailure)?.let { return it }
             val placement = place(queue, request)
             if (placement is Placement.Refuse) return lastFailure ?: refuse(placement)
             val send = placement as Placement.Send
@@ -125,8 +124,6 @@
                     lastFailure = attempt.reply
                 }
 
-                AttemptResult.TooLate -> return lastFailure ?: Reply.leaving()
-
                 AttemptResult.NotSent ->
                     if (++connectFailures >= CONNECT_FAILURE_LIMIT) return lastFailure ?: notRun("target-unreachable")
             }
@@ -154,6 +151,13 @@
     /** An earlier attempt of the request may have run, so the reply promises nothing and invites to no repetition. */
     private fun crashesTargets(): Reply = Reply.Failed(BAD_GATEWAY, "crashes-targets")
 
+    /** Returns the reply to [request] if it must not be sent to a target, or not to another one after [lastFailure]. */
+    private fun unsentReplyOrNull(queue: ServiceQueue, request: ForwardedRequest, lastFailure: Reply?): Reply? = when {
+        isSuspended(request) -> crashesTargets()
+        !endsBeforeStop(queue, request) -> lastFailure ?: Reply.leaving()
+        else -> null
+    }
+
     private fun endsBeforeStop(queue: ServiceQueue, request: ForwardedRequest): Boolean {
         val stop = stopDeadline() ?: return true
         val longestTime = queue.pool.longestProcessingTime(request.placement.workloadClass)
@@ -181,9 +185,6 @@
         /** Failure with [reply] after which another target may be tried. */
         class Retryable(val reply: Reply, val reason: String) : AttemptResult
 
-        /** The request was not sent, because this VM ends before the response could arrive. */
-        data object TooLate : AttemptResult
-
         /** The request was not sent to the target. */
         data object NotSent : AttemptResult
     }
@@ -203,15 +204,11 @@
                 log.request("target-unreachable", "id" to request.target.id, "target" to send.target.key.name)
                 return AttemptResult.NotSent
             }
-            // The target may have been withdrawn while the connection was opened.
-            if (!queue.pool.mayReceive(send.target, clock())) {
+            // The target may have been withdrawn, or this VM may have begun to stop, while the connection was opened.
+            if (!queue.pool.mayReceive(send.target, clock()) || !endsBeforeStop(queue, request)) {
                 connections.release(send.target.key, connection)
                 return AttemptResult.NotSent
             }
-            if (!endsBeforeStop(queue, request)) {
-                connections.release(send.target.key, connection)
-                return AttemptResult.TooLate
-            }
             if (isSuspended(request)) {
                 connections.release(send.target.key, connection)
                 return AttemptResult.Final(crashesTargets())
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/MessageMemoryTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/MessageMemoryTest.kt
@@ -22,6 +22,7 @@
 private const val MESSAGE_BUDGET = 64 * MEBIBYTE
 
 /** Bytes that are still referenced, as of a collection; what was allocated since then does not count. */
+@Suppress("ExplicitGarbageCollectionCall") // What is still referenced is known only after a collection.
 private fun liveHeap(): Long {
     System.gc()
     return ManagementFactory.getMemoryPoolMXBeans().filter { it.type == MemoryType.HEAP }
