--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
@@ -311,6 +311,8 @@
             "service" to exchange.forwarded?.service?.value,
             "target" to exchange.forwarded?.lastTarget,
             "zone" to exchange.forwarded?.lastZone,
+            "connection" to exchange.forwarded?.lastConnection,
+            "status_line" to exchange.forwarded?.lastStatusLine,
             "placement" to exchange.forwarded?.placementReason,
             "sent_after_ms" to exchange.forwarded?.sentAt?.let { (it - exchange.arrivedAt).inWholeMilliseconds },
             "object" to exchange.request.header(headerNames.affinityKey),
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
@@ -58,6 +58,12 @@
     /** Zone of that target. */
     var lastZone: String? = null
 
+    /** Connection of the latest attempt and number of the request on it, for the log. */
+    var lastConnection: String? = null
+
+    /** Status line of the latest response of a target without its version, for the log. */
+    var lastStatusLine: String? = null
+
     /** Why that target was chosen, for the log. */
     var placementReason: String? = null
 
@@ -141,7 +147,14 @@
             return false
         }
         metrics.countRetry(reason)
-        log.request("retry", "id" to request.target.id, "target" to request.lastTarget, "reason" to reason)
+        log.request(
+            "retry",
+            "id" to request.target.id,
+            "target" to request.lastTarget,
+            "connection" to request.lastConnection,
+            "status_line" to request.lastStatusLine,
+            "reason" to reason,
+        )
         return true
     }
 
@@ -233,6 +246,9 @@
         request.lastZone = send.target.zone.value
         request.placementReason = send.inFlight.reason
         request.sentAt = clock()
+        connection.recordRequest(request.target.id)
+        request.lastConnection = connection.label
+        request.lastStatusLine = null
         val mayHaveRunBefore = request.mayHaveRun
         request.mayHaveRun = true
         request.isAtTarget = true
@@ -248,6 +264,7 @@
         )
         try {
             val result = awaitResult(queue, request, send, exchange)
+            request.lastStatusLine = statusLineOrNull(result)
             recordEvidence(request, send, result)
             val attempt = if (result == null) targetSilent() else attemptResult(request, send, result, mayHaveRunBefore)
             // A connection with an unread rest of a response can't be used again; closing it ends the target's work.
@@ -262,6 +279,13 @@
         }
     }
 
+    private fun statusLineOrNull(result: ExchangeResult?): String? = when (result) {
+        is ExchangeResult.Complete -> "${result.status} ${result.statusMessage}"
+        is ExchangeResult.Large -> "${result.response.statusCode()} ${result.response.statusMessage()}"
+        is ExchangeResult.NotRun -> "${result.status} ${result.statusMessage}"
+        is ExchangeResult.Broken, null -> null
+    }
+
     /** Records what [result] says about whether the request crashes targets. */
     private fun recordEvidence(request: ForwardedRequest, send: Placement.Send, result: ExchangeResult?) {
         val now = clock()
@@ -348,6 +372,7 @@
             "target" to send.target.key.name,
             "started_at" to send.target.key.startedAtMillis,
             "fingerprint" to fingerprintText(request.fingerprint(headerNames)),
+            "connection" to request.lastConnection,
             "cause" to cause,
         )
     }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
@@ -18,8 +18,12 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** Connection to a target, with the state that decides on its reuse. Confined to the event loop. */
-internal class TargetConnection(val connection: HttpClientConnection) {
+/**
+ * Connection to a target, with the state that decides on its reuse. Confined to the event loop.
+ *
+ * @param number identifies the connection among all of this process.
+ */
+internal class TargetConnection(val connection: HttpClientConnection, private val number: Long) {
     /** When the latest request on the connection ended. */
     var idleSince: MonotonicTime = MonotonicTime(0)
 
@@ -30,9 +34,15 @@
     var isOpen: Boolean = true
 
     private val requestIds = LinkedHashSet<String>()
+    private var requestCount = 0
+
+    /** Number of the connection and of its latest request, for the log. */
+    val label: String
+        get() = "$number/$requestCount"
 
     /** Records that the request [id] is sent on the connection. */
     fun recordRequest(id: String) {
+        requestCount++
         requestIds.add(id)
         if (requestIds.size > REQUEST_ID_LIMIT) requestIds.remove(requestIds.first())
     }
@@ -70,6 +80,7 @@
     private val idleConnections = HashMap<TargetKey, ArrayDeque<TargetConnection>>()
     private val openCounts = HashMap<TargetKey, Int>()
     private val beingVerified = HashSet<TargetKey>()
+    private var openedCount = 0L
 
     /**
      * Returns a pooled connection to [target] that was idle for less than [maximumIdleTime] and carried no request with
@@ -184,7 +195,7 @@
         startedAt: MonotonicTime,
     ): TargetConnection {
         onOpened(target, clock() - startedAt)
-        val result = TargetConnection(connection)
+        val result = TargetConnection(connection, ++openedCount)
         connection.closeHandler {
             result.isOpen = false
             idleConnections[target.key]?.remove(result)
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
@@ -32,8 +32,18 @@
 
 /** Result of sending a request to a target. */
 internal sealed interface ExchangeResult {
-    /** Complete response of the target. */
-    class Complete(val status: Int, val headers: MultiMap, val body: Buffer, val report: LoadReport?) : ExchangeResult
+    /**
+     * Complete response of the target.
+     *
+     * @property statusMessage reason phrase of the status line, for the log.
+     */
+    class Complete(
+        val status: Int,
+        val statusMessage: String?,
+        val headers: MultiMap,
+        val body: Buffer,
+        val report: LoadReport?,
+    ) : ExchangeResult
 
     /**
      * Start of a response that is too large to buffer.
@@ -45,8 +55,12 @@
     class Large(val response: HttpClientResponse, val head: List<Buffer>, val ended: CompletableDeferred<Boolean>) :
         ExchangeResult
 
-    /** The target reported that it did not run the request. */
-    class NotRun(val status: Int, val report: LoadReport?) : ExchangeResult
+    /**
+     * The target reported that it did not run the request.
+     *
+     * @property statusMessage reason phrase of the status line, for the log.
+     */
+    class NotRun(val status: Int, val statusMessage: String?, val report: LoadReport?) : ExchangeResult
 
     /**
      * No usable response; the request may have run.
@@ -87,7 +101,6 @@
 
     /** Sends the request. */
     fun send() {
-        connection.recordRequest(request.id)
         val options = RequestOptions().setMethod(request.method).setURI(request.uri).setHeaders(request.headers)
         connection.connection.exceptionHandler { broken("connection closed") }
         connection.connection.request(options).onComplete { created ->
@@ -161,9 +174,9 @@
     private fun completed(response: HttpClientResponse, body: Buffer, report: LoadReport?): ExchangeResult {
         val notExecuted = response.getHeader(headerNames.notExecuted) != null
         return if (notExecuted || response.statusCode() == MISDIRECTED) {
-            ExchangeResult.NotRun(response.statusCode(), report)
+            ExchangeResult.NotRun(response.statusCode(), response.statusMessage(), report)
         } else {
-            ExchangeResult.Complete(response.statusCode(), response.headers(), body, report)
+            ExchangeResult.Complete(response.statusCode(), response.statusMessage(), response.headers(), body, report)
         }
     }
 
