Targets: bytes outside a response become no part of the next one

What callers saw: a success where the target had answered with a failure (MIXED), 404 to proper requests (DENIED), 503 for bookings that had run (REFUSED), at all VMs while targets wrote parts of second responses.

Cause: the decoder of a pooled connection held an incomplete status line and reported nothing. The connection looked idle, was used again, and the next status line became the end of the one that was left: `HTTP/1.1 200 OHTTP/1.1 500 Internal Server Error`. All other fields of that head were those of the right response, and only the identifier was checked.

Change: StrictClientCodec, in the new module http, replaces the codec of Vert.x on connections to targets and is the one owner of the question whether a connection is clean. Any byte while no response is due ends its use, is logged (stray-bytes) and counted; it is asked at release, when a connection is taken and immediately before the head is written. Bytes that arrive between a request and its response can't be seen that way, so a head is also checked strictly: version, status of three digits, no second version in the reason phrase, no status line inside a field, no length beside chunks, one identifier. Interim responses are dropped.

Why it works: a line of a response begins with its status line. If something stands before it, the result is a status line, a field name or a field value that contains a second status line, and each of these is rejected.

StrictClientCodecTest plays 20,000 generated exchanges with leftovers of every length before, between and within segments: no wrong status.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -45,6 +45,7 @@
 import org.anvilshed.gateway.requests.fingerprintText
 import org.anvilshed.gateway.store.ObjectStore
 import org.anvilshed.gateway.store.StoreProbe
+import org.anvilshed.gateway.targets.TargetConnection
 import org.anvilshed.gateway.targets.TargetConnectionPool
 import kotlin.math.roundToInt
 import kotlin.time.Duration.Companion.milliseconds
@@ -103,12 +104,13 @@
     private val connections = TargetConnectionPool(
         vertx.createHttpClient(
             HttpClientOptions().setKeepAlive(true).setPipelining(false).setDecompressionSupported(false)
-                .setMaxHeaderSize(MAXIMUM_HEADER_BYTES).setTcpNoDelay(true),
+                .setMaxHeaderSize(TargetConnection.MAXIMUM_HEADER_BYTES).setTcpNoDelay(true),
             PoolOptions().setHttp1MaxSize(1),
         ),
         log,
         clock,
         onRefused = ::recordRefusedConnection,
+        onStrayBytes = ::recordStrayBytes,
         onOpened = { target, duration ->
             crashes.recordAcceptedConnection(target.key)
             roundTripTimes.observe(target.zone, duration)
@@ -312,6 +314,16 @@
         refreshTargets(now)
     }
 
+    private fun recordStrayBytes(target: RegisteredTarget, bytes: String) {
+        metrics.countStrayBytes("target")
+        log.request(
+            "stray-bytes",
+            "target" to target.key.name,
+            "started_at" to target.key.startedAtMillis,
+            "bytes" to bytes,
+        )
+    }
+
     private fun recordRefusedConnection(target: RegisteredTarget) {
         val now = clock()
         val observed = crashes.recordRefusedConnection(target.key, now)
@@ -419,7 +431,6 @@
         /** A caller may still connect this long after a lookup response has expired. */
         val LOOKUP_IN_TRANSIT_TIME = 500.milliseconds
         const val LOOKUP_ADDRESS_LIMIT = 64
-        const val MAXIMUM_HEADER_BYTES = 65_536
         const val CONNECT_ROUND_TRIPS = 3
         val MINIMUM_CONNECT_TIME = 150.milliseconds
     }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/GatewayMetrics.kt
@@ -43,6 +43,13 @@
     private val storeRenewals = Counter.builder().name("anvilshed_store_renewals_total")
         .help("Times that all connections to the store were replaced because some had gone silent.").register(registry)
 
+    private val strayBytes = Counter.builder().name("anvilshed_stray_bytes_total")
+        .help("Connections closed because of bytes outside a response, by the server: target, store, peer.")
+        .labelNames("server").register(registry)
+
+    /** Counts a connection that was closed because [server] wrote bytes outside a response. */
+    public fun countStrayBytes(server: String): Unit = strayBytes.labelValues(server).inc()
+
     /** Counts a replacement of all connections to the store. */
     public fun countStoreRenewal(): Unit = storeRenewals.inc()
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
@@ -283,7 +283,7 @@
         is ExchangeResult.Complete -> "${result.status} ${result.statusMessage}"
         is ExchangeResult.Large -> "${result.response.statusCode()} ${result.response.statusMessage()}"
         is ExchangeResult.NotRun -> "${result.status} ${result.statusMessage}"
-        is ExchangeResult.Broken, null -> null
+        is ExchangeResult.Broken, ExchangeResult.NotSent, null -> null
     }
 
     /** Records what [result] says about whether the request crashes targets. */
@@ -350,6 +350,12 @@
             AttemptResult.Final(Reply.Streamed(result.response.statusCode(), isComplete)) to outcome
         }
 
+        ExchangeResult.NotSent -> {
+            request.mayHaveRun = mayHaveRunBefore
+            request.sendCount--
+            AttemptResult.NotSent to TargetOutcome.Cancelled
+        }
+
         is ExchangeResult.NotRun -> {
             request.mayHaveRun = mayHaveRunBefore
             metrics.countTargetFailure("not-run")
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
@@ -13,6 +13,7 @@
 import org.anvilshed.core.fleet.TargetKey
 import org.anvilshed.gateway.DecisionLog
 import org.anvilshed.gateway.MonotonicClock
+import org.anvilshed.http.useStrictCodec
 import java.io.IOException
 import java.net.ConnectException
 import kotlin.time.Duration
@@ -22,8 +23,15 @@
  * Connection to a target, with the state that decides on its reuse. Confined to the event loop.
  *
  * @param number identifies the connection among all of this process.
+ * @param onStrayBytes called with the first bytes outside a response, after which the connection is not used again.
  */
-internal class TargetConnection(val connection: HttpClientConnection, private val number: Long) {
+internal class TargetConnection(
+    val connection: HttpClientConnection,
+    private val number: Long,
+    onStrayBytes: (String) -> Unit,
+) {
+    private val codec = connection.useStrictCodec(MAXIMUM_HEADER_BYTES, onStrayBytes)
+
     /** When the latest request on the connection ended. */
     var idleSince: MonotonicTime = MonotonicTime(0)
 
@@ -33,6 +41,10 @@
     /** Whether neither side has closed the connection. */
     var isOpen: Boolean = true
 
+    /** Whether the connection is open and all that was received on it belonged to responses. */
+    val isUsable: Boolean
+        get() = isOpen && codec.isClean
+
     private val requestIds = LinkedHashSet<String>()
     private var requestCount = 0
 
@@ -61,6 +73,9 @@
 
         /** A target that writes an earlier response once more does so within a few requests. */
         private const val REQUEST_ID_LIMIT = 32
+
+        /** Longest header section of a response. */
+        const val MAXIMUM_HEADER_BYTES = 65_536
     }
 }
 
@@ -68,6 +83,8 @@
  * Pool of connections to all targets. Confined to the event loop.
  *
  * @param onRefused called with each target that refused a connection.
+ * @param onStrayBytes called with a target and the first bytes that it wrote outside a response; their connection is
+ *   closed.
  * @param onOpened called after each opened connection with the target and the time that opening took.
  */
 internal class TargetConnectionPool(
@@ -75,6 +92,7 @@
     private val log: DecisionLog,
     private val clock: MonotonicClock,
     private val onRefused: (RegisteredTarget) -> Unit = {},
+    private val onStrayBytes: (RegisteredTarget, String) -> Unit = { _, _ -> },
     private val onOpened: (RegisteredTarget, Duration) -> Unit,
 ) {
     private val idleConnections = HashMap<TargetKey, ArrayDeque<TargetConnection>>()
@@ -107,6 +125,7 @@
     /** Returns [connection] to the pool after a request on it has ended. */
     fun release(target: TargetKey, connection: TargetConnection) {
         if (!connection.isOpen) return
+        if (!connection.isUsable) return connection.close()
         connection.connection.exceptionHandler(null)
         connection.idleSince = clock()
         idleConnections.getOrPut(target) { ArrayDeque() }.addLast(connection)
@@ -129,7 +148,7 @@
         while (connections.isNotEmpty()) {
             val candidate = connections.removeLast()
             val age = now - candidate.idleSince
-            if (candidate.isOpen && age < candidate.idleLimit && !candidate.hasCarried(requestId)) {
+            if (candidate.isUsable && age < candidate.idleLimit && !candidate.hasCarried(requestId)) {
                 if (age < maximumIdleTime) return candidate
                 connections.addLast(candidate)
                 return null
@@ -195,7 +214,7 @@
         startedAt: MonotonicTime,
     ): TargetConnection {
         onOpened(target, clock() - startedAt)
-        val result = TargetConnection(connection, ++openedCount)
+        val result = TargetConnection(connection, ++openedCount) { onStrayBytes(target, it) }
         connection.closeHandler {
             result.isOpen = false
             idleConnections[target.key]?.remove(result)
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
@@ -55,6 +55,9 @@
     class Large(val response: HttpClientResponse, val head: List<Buffer>, val ended: CompletableDeferred<Boolean>) :
         ExchangeResult
 
+    /** The request was not sent, as the connection had become unusable since it was taken. */
+    data object NotSent : ExchangeResult
+
     /**
      * The target reported that it did not run the request.
      *
@@ -97,7 +100,7 @@
 
     /** Whether the connection may serve another request. */
     val isConnectionReusable: Boolean
-        get() = isResponseReusable && isRequestWritten && connection.isOpen
+        get() = isResponseReusable && isRequestWritten && connection.isUsable
 
     /** Sends the request. */
     fun send() {
@@ -121,6 +124,11 @@
     suspend fun await(): ExchangeResult = result.await()
 
     private fun write(target: HttpClientRequest) {
+        if (!connection.isUsable) {
+            headArrived.complete(Unit)
+            result.complete(ExchangeResult.NotSent)
+            return
+        }
         target.exceptionHandler { broken("request failed: $it") }
         target.response().onComplete { head ->
             if (head.failed()) broken("no response: ${head.cause()}") else receive(head.result())
@@ -131,7 +139,7 @@
     }
 
     private fun receive(response: HttpClientResponse) {
-        if (response.getHeader(headerNames.requestId) != request.id) {
+        if (response.headers().getAll(headerNames.requestId).singleOrNull() != request.id) {
             headArrived.complete(Unit)
             broken("response to another request")
             connection.close()
--- /dev/null
+++ b/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
@@ -0,0 +1,119 @@
+package org.anvilshed.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.ByteBufUtil
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelPromise
+import io.netty.channel.CombinedChannelDuplexHandler
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMessage
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import java.io.IOException
+
+/** A request was not written because bytes outside a response had been received on its connection. */
+public class StrayBytesException : IOException("bytes outside a response were received on the connection")
+
+/**
+ * Codec of a client's HTTP/1.1 connection on which each byte belongs to the response of exactly one request.
+ *
+ * Bytes that are received while no response is due make the connection unusable: nothing is written on it any more,
+ * and it is closed once the last response is delivered. Without that, they would wait in the decoder and become the
+ * beginning of the next response. A head that contains parts of two responses is invalid, since such bytes may also
+ * arrive after the next request was sent.
+ *
+ * Interim responses (1xx) are dropped. Confined to the event loop of the connection.
+ *
+ * @param maximumHeaderBytes longest header section of a response.
+ * @param onStrayBytes called once if bytes outside a response are received, with the first of them as text.
+ */
+public class StrictClientCodec(maximumHeaderBytes: Int, private val onStrayBytes: (String) -> Unit) :
+    CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder>() {
+    /** Methods of the requests whose responses are not complete, oldest first. */
+    private val unanswered = ArrayDeque<HttpMethod>()
+
+    /** Whether every byte received so far belongs to a valid response. */
+    public var isClean: Boolean = true
+        private set
+
+    init {
+        this.init(ResponseDecoder(maximumHeaderBytes), HttpRequestEncoder())
+    }
+
+    override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
+        if (!isClean) {
+            ReferenceCountUtil.release(message)
+            promise.tryFailure(StrayBytesException())
+            context.close()
+            return
+        }
+        if (message is HttpRequest) unanswered.addLast(message.method())
+        super.write(context, message, promise)
+    }
+
+    private inner class ResponseDecoder(maximumHeaderBytes: Int) :
+        HttpResponseDecoder(HttpDecoderConfig().setMaxHeaderSize(maximumHeaderBytes)) {
+        private var isInterim = false
+
+        override fun decode(context: ChannelHandlerContext, input: ByteBuf, output: MutableList<Any>) {
+            if (isClean && unanswered.isEmpty()) rejectStrayBytes(input)
+            if (!isClean) {
+                input.skipBytes(input.readableBytes())
+                context.close()
+                return
+            }
+            super.decode(context, input, output)
+            output.forEach(::observe)
+            if (isInterim) output.clear()
+            // Also rejected here, before the end of the response is passed on and the connection is used again.
+            if (isClean && unanswered.isEmpty() && input.isReadable) rejectStrayBytes(input)
+        }
+
+        private fun observe(message: Any) {
+            if (message is HttpResponse) {
+                isInterim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
+                if (message.decoderResult().isFailure) isClean = false
+            }
+            if (message is LastHttpContent && !isInterim) unanswered.removeFirstOrNull()
+        }
+
+        private fun rejectStrayBytes(input: ByteBuf) {
+            isClean = false
+            val sampleLength = minOf(input.readableBytes(), SAMPLE_BYTES)
+            val sample = ByteBufUtil.getBytes(input, input.readerIndex(), sampleLength)
+            onStrayBytes(sample.joinToString("", transform = ::printable))
+        }
+
+        override fun createMessage(initialLine: Array<String>): HttpMessage {
+            val (version, status, reason) = initialLine
+            statusLineFaultOrNull(version, status, reason)?.let { throw IllegalArgumentException("status line: $it") }
+            return super.createMessage(initialLine)
+        }
+
+        /** Called once for each complete head; an exception makes the decoder report the response as invalid. */
+        override fun isContentAlwaysEmpty(message: HttpMessage): Boolean {
+            val headers = message.headers()
+            require(headers.none { containsStatusLine(it.value) }) { "status line inside a field" }
+            require(HttpHeaderNames.TRANSFER_ENCODING !in headers || HttpHeaderNames.CONTENT_LENGTH !in headers) {
+                "Content-Length beside Transfer-Encoding"
+            }
+            return unanswered.firstOrNull() == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
+        }
+    }
+
+    private fun printable(byte: Byte): String =
+        if (byte in PRINTABLE) byte.toInt().toChar().toString() else "\\x%02x".format(byte)
+
+    private companion object {
+        /** Enough to recognise the beginning of a response. */
+        const val SAMPLE_BYTES = 48
+        val PRINTABLE = ' '.code..'~'.code
+    }
+}
--- /dev/null
+++ b/http/src/test/kotlin/org/anvilshed/http/StrictClientCodecTest.kt
@@ -0,0 +1,187 @@
+package org.anvilshed.http
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldStartWith
+import io.netty.buffer.Unpooled
+import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import kotlin.random.Random
+
+private const val MAXIMUM_HEADER_BYTES = 8_192
+
+/** Connection to a server that the test plays; responses are collected as `status body`. */
+private class Connection {
+    val strayBytes = ArrayList<String>()
+    private val codec = StrictClientCodec(MAXIMUM_HEADER_BYTES) { strayBytes.add(it) }
+    private val channel = EmbeddedChannel(codec)
+    private var head: HttpResponse? = null
+    private val body = StringBuilder()
+
+    /** Complete responses that were not used yet. */
+    val responses = ArrayDeque<String>()
+
+    val isClean: Boolean
+        get() = codec.isClean
+
+    val isOpen: Boolean
+        get() = channel.isOpen
+
+    /** Returns whether the request was written. */
+    fun send(method: HttpMethod = HttpMethod.GET): Boolean {
+        val future = channel.writeAndFlush(DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/"))
+        channel.releaseOutbound()
+        return future.isSuccess
+    }
+
+    fun receive(text: String) {
+        if (!channel.isOpen) return
+        channel.writeInbound(Unpooled.copiedBuffer(text, Charsets.ISO_8859_1))
+        collect()
+    }
+
+    private fun collect() {
+        while (true) {
+            val message = channel.readInbound<Any>() ?: return
+            if (message is HttpResponse) head = message.takeIf { it.decoderResult().isSuccess }
+            if (message is HttpContent) body.append(message.content().toString(Charsets.ISO_8859_1))
+            if (message is LastHttpContent) {
+                head?.let { responses.addLast("${it.status().code()} $body") }
+                head = null
+                body.clear()
+            }
+            ReferenceCountUtil.release(message)
+        }
+    }
+}
+
+private fun response(status: String, body: String = "ok", fields: String = "Server: x\r\n") =
+    "HTTP/1.1 $status\r\n${fields}Content-Length: ${body.length}\r\n\r\n$body"
+
+class StrictClientCodecTest :
+    FunSpec({
+        test("responses pass, with every kind of framing and in segments of every length") {
+            val chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nTrailer: x\r\n\r\n"
+            val bytes = response("200 OK") + chunked + "HTTP/1.1 204 No Content\r\n\r\n" + response("505 HTTP Version")
+            for (length in 1..bytes.length) {
+                val connection = Connection()
+                repeat(4) { connection.send() shouldBe true }
+                bytes.chunked(length).forEach(connection::receive)
+                connection.responses.shouldContainExactly("200 ok", "200 abc", "204 ", "505 ok")
+                connection.isClean shouldBe true
+            }
+        }
+
+        test("bytes behind a response close the connection, after the response has been passed on") {
+            val connection = Connection()
+            connection.send()
+            connection.receive(response("200 OK") + "HTTP/1.1 200 O")
+            connection.responses.shouldContainExactly("200 ok")
+            connection.strayBytes.shouldContainExactly("HTTP/1.1 200 O")
+            connection.isOpen shouldBe false
+        }
+
+        test("bytes on an idle connection close it, and no request is written on it") {
+            val connection = Connection()
+            connection.send()
+            connection.receive(response("200 OK"))
+            connection.receive("\u0000H")
+            connection.strayBytes.shouldContainExactly("\\x00H")
+            connection.isOpen shouldBe false
+            connection.send() shouldBe false
+        }
+
+        test("a response to HEAD, 204 and 304 have no body") {
+            for ((method, status) in listOf(
+                HttpMethod.HEAD to "200 OK",
+                HttpMethod.GET to "204 No Content",
+                HttpMethod.GET to "304 Not Modified",
+            )) {
+                val connection = Connection()
+                connection.send(method)
+                connection.receive("HTTP/1.1 $status\r\nContent-Length: 2\r\n\r\nok")
+                withClue(status) {
+                    connection.responses.shouldContainExactly("${status.take(3)} ")
+                    connection.strayBytes.shouldContainExactly("ok")
+                }
+            }
+        }
+
+        test("interim responses are no responses to the request") {
+            val connection = Connection()
+            connection.send()
+            for (status in listOf("100 Continue", "102 Processing", "103 Early Hints", "199 Other")) {
+                connection.receive("HTTP/1.1 $status\r\nLink: x\r\n\r\n")
+            }
+            connection.responses.shouldBeEmpty()
+            connection.receive(response("200 OK"))
+            connection.responses.shouldContainExactly("200 ok")
+            connection.isClean shouldBe true
+        }
+
+        val invalidHeads = mapOf(
+            "a second version in the reason phrase" to "HTTP/1.1 200 OHTTP/1.1 500 Error\r\n\r\n",
+            "a status of four digits" to "HTTP/1.1 2000 OK\r\n\r\n",
+            "an unknown version" to "HTTP/1.1HTTP/1.1 200 OK\r\n\r\n",
+            "a change of protocol" to "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+            "a field without a name" to "HTTP/1.1 200 OK\r\nHTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
+            "a status line in a field" to "HTTP/1.1 200 OK\r\nServer: xHTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
+            "two lengths" to "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+            "a length beside chunks" to
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        )
+        for ((what, head) in invalidHeads) {
+            test("a head with $what is no response") {
+                val connection = Connection()
+                connection.send()
+                connection.receive(head)
+                connection.responses.shouldBeEmpty()
+                connection.isClean shouldBe false
+                connection.send() shouldBe false
+            }
+        }
+
+        // Guards against a status that belongs to no response, wherever the bytes of an earlier response end.
+        test("no response has the status of bytes outside a response, whenever these arrive") {
+            val random = Random(37)
+            val statuses = listOf("200 OK", "404 Not Found", "421 Misdirected Request", "503 Slow", "500 Error")
+            repeat(20_000) { round ->
+                val connection = Connection()
+                connection.send()
+                connection.receive(response("200 OK"))
+                val stray = response(statuses.random(random)).let {
+                    it.take(random.nextInt(it.indexOf("\r\n\r\n") + 4))
+                }
+                val arrival = random.nextInt(3)
+                if (arrival == 0) stray.chunked(1 + random.nextInt(20)).forEach(connection::receive)
+                connection.responses.clear()
+                val isSent = connection.send()
+                if (arrival == 1) connection.receive(stray)
+                val expected = statuses.random(random)
+                val own = if (arrival == 2) stray + response(expected) else response(expected)
+                own.chunked(1 + random.nextInt(60)).forEach(connection::receive)
+                withClue("round $round, $arrival, ${stray.replace("\r\n", "|")}, $expected") {
+                    connection.responses.filter { it != "${expected.take(3)} ok" }.shouldBeEmpty()
+                    if (stray.isEmpty()) connection.responses.size shouldBe 1
+                    if (arrival == 0 && stray.isNotEmpty()) isSent shouldBe false
+                }
+            }
+        }
+
+        test("a sample of endless bytes is bounded") {
+            val connection = Connection()
+            connection.send()
+            connection.receive(response("200 OK") + "x".repeat(100_000))
+            connection.strayBytes.single().length shouldBe 48
+            connection.strayBytes.single() shouldStartWith "xxxx"
+        }
+    })
