Callers: a refusal shows what was refused, and empty lines begin no head

It now has a bounded, printable sample without credentials, and own 4xx are counted by status and reason.

The decoder has to know where a head begins for that. It took an empty line behind a request for the beginning of the next head and closed the connection after header_timeout instead of idle_timeout: the callers' next request met a closed connection.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/GatewayMetrics.kt
@@ -15,6 +15,9 @@
 
     private val replies = Counter.builder().name("anvilshed_replies_total")
         .help("Final answers to callers by reason.").labelNames("reason").register(registry)
+    private val ownClientErrors = Counter.builder().name("anvilshed_own_client_errors_total")
+        .help("Final answers with a status from 400 to 499 that no target gave, by status and reason.")
+        .labelNames("status", "reason").register(registry)
     private val retries = Counter.builder().name("anvilshed_retries_total")
         .help("Requests sent once more by reason.").labelNames("reason").register(registry)
     private val targetFailures = Counter.builder().name("anvilshed_target_failures_total")
@@ -56,6 +59,10 @@
     /** Counts a final response to a caller. */
     public fun countReply(reason: String): Unit = replies.labelValues(reason).inc()
 
+    /** Counts a final response with a [status] from 400 to 499 that this VM made itself. */
+    public fun countOwnClientError(status: Int, reason: String): Unit =
+        ownClientErrors.labelValues(status.toString(), reason).inc()
+
     /** Counts a retry, or a retry that the budget did not allow. */
     public fun countRetry(reason: String): Unit = retries.labelValues(reason).inc()
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerConnection.kt
@@ -129,7 +129,7 @@
     }
 
     private fun startRequest(head: HttpRequest) {
-        val request = CallerRequest(this, head, clock(), maximumBodyBytes(), bodyMemory)
+        val request = CallerRequest(this, head, decoder.refusedLine, clock(), maximumBodyBytes(), bodyMemory)
         unanswered.addLast(request)
         receiving = request
         if (unanswered.size == 1) giveTurn(request)
@@ -143,7 +143,7 @@
         val isInvalid = content.decoderResult().isFailure
         if (content is LastHttpContent || isInvalid) {
             receiving = null
-            request.bodyEnded(isValid = !isInvalid)
+            request.bodyEnded(content.decoderResult().cause())
         }
     }
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerRequest.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerRequest.kt
@@ -38,11 +38,13 @@
 /**
  * Request that a caller sent on [connection]. Confined to the event loop.
  *
+ * @param refusedLine sample of the line that makes [head] invalid, if it is.
  * @property arrivedAt when the head of the request was complete.
  */
 internal class CallerRequest(
     private val connection: CallerConnection,
     head: HttpRequest,
+    refusedLine: String?,
     val arrivedAt: MonotonicTime,
     private val maximumBodyBytes: Long,
     bodyMemory: MemoryBudget,
@@ -57,6 +59,10 @@
     /** Why the head is invalid; `null` if it is valid. */
     val fault: Throwable? = head.decoderResult().cause()
 
+    /** What makes the head or the body invalid, for the log; `null` if both are valid. */
+    var faultSample: String? = fault?.let { "$refusedLine ($it)" }
+        private set
+
     /** Completes with the body, or as soon as it is known that the body can't be used. */
     val body = CompletableDeferred<BodyResult>()
 
@@ -126,9 +132,11 @@
         if (body.isCompleted) releaseBody()
     }
 
-    /** Records that the whole request was read; [isValid] is `false` if its body is malformed. */
-    fun bodyEnded(isValid: Boolean) {
+    /** Records that the whole request was read; [cause] is not `null` if its body is malformed. */
+    fun bodyEnded(cause: Throwable?) {
+        val isValid = cause == null
         isBodyEnded = isValid
+        if (cause != null && fault == null) faultSample = RefusedText.sample(cause.toString())
         val result = if (isValid) BodyResult.Read(received.takeIf { it.length > 0 }?.toBuffer()) else BodyResult.Broken
         body.complete(result)
     }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerRequestDecoder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerRequestDecoder.kt
@@ -27,6 +27,13 @@
         private set
     private lateinit var context: ChannelHandlerContext
 
+    /** Whether bytes of the present head were consumed in an earlier call. */
+    private var isHeadBegun = false
+
+    /** Sample of the line that made the latest head invalid; `null` if none was. */
+    var refusedLine: String? = null
+        private set
+
     /** When the first byte of a still incomplete head arrived; `null` if there is no incomplete head. */
     var incompleteSince: MonotonicTime? = null
         private set
@@ -51,15 +58,30 @@
 
     override fun decode(context: ChannelHandlerContext, input: ByteBuf, output: MutableList<Any>) {
         if (isPaused && isBetweenRequests) return
+        val start = input.readerIndex()
+        val startsRequest = !isHeadBegun
+        if (isBetweenRequests && !isHeadBegun) isHeadBegun = hasHeadByte(input)
         super.decode(context, input, output)
         for (message in output) {
             if (message is HttpMessage) {
+                if (message.decoderResult().isFailure) refusedLine = readRefusedLine(input, start, startsRequest)
                 isBetweenRequests = false
+                isHeadBegun = false
                 incompleteSince = null
             }
             if (message is LastHttpContent) isBetweenRequests = true
         }
-        if (output.isEmpty() && isBetweenRequests && incompleteSince == null) incompleteSince = clock()
+        if (isHeadBegun && incompleteSince == null) incompleteSince = clock()
+    }
+
+    /** Empty lines in front of a request (RFC 9112, section 2.2) do not begin its head. */
+    private fun hasHeadByte(input: ByteBuf): Boolean =
+        input.forEachByte { it == '\r'.code.toByte() || it == '\n'.code.toByte() } >= 0
+
+    /** The bytes of an invalid head were skipped, but remain in the buffer until the next ones arrive. */
+    private fun readRefusedLine(input: ByteBuf, start: Int, startsRequest: Boolean): String {
+        val length = (input.writerIndex() - start).coerceIn(0, MAXIMUM_HEADER_BYTES)
+        return RefusedText.offendingLine(input.toString(start, length, Charsets.ISO_8859_1), startsRequest)
     }
 
     /** Called once for each complete head; an exception makes the decoder report the request as invalid. */
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
@@ -26,6 +26,7 @@
 import org.anvilshed.gateway.RequestHeaderNames
 import org.anvilshed.gateway.callers.BodyResult
 import org.anvilshed.gateway.callers.CallerRequest
+import org.anvilshed.gateway.callers.RefusedText
 import org.anvilshed.gateway.callers.RequestEnd
 import org.anvilshed.gateway.callers.ResponseHead
 import org.anvilshed.gateway.targets.ExchangeResult
@@ -102,6 +103,9 @@
         val active: ActiveConfig? = state.currentOrNull
         val route: IngressRoute? = active?.routes?.findOrNull(request.header("Host").orEmpty(), request.path)
         val responseMemory = responseMemoryBudget.newReservation()
+
+        /** What was refused of a request that gets a 4xx status of this VM, for the log. */
+        var refused: String? = null
         var forwarded: ForwardedRequest? = null
 
         /** Whether it is decided what the caller gets. */
@@ -131,14 +135,14 @@
     }
 
     private suspend fun replyTo(exchange: CallerExchange): Reply {
-        exchange.request.fault?.let { return invalidHead(it) }
+        exchange.request.fault?.let { return invalidHead(exchange, it) }
         val active = exchange.active ?: return Reply.NotRun(SERVICE_UNAVAILABLE, "no-config", DEFAULT_RETRY_AFTER)
-        val route = exchange.route ?: return Reply.Failed(NOT_FOUND, "no-route")
+        val route = exchange.route ?: return noRoute(exchange)
         headErrorOrNull(exchange, active)?.let { return it }
         val callerLimit = exchange.request.header(headerNames.deadlineMillis)?.toLong()?.milliseconds
         val timeout = minOf(callerLimit ?: route.timeout, route.timeout)
         val body = withTimeoutOrNull(timeout) { exchange.request.body.await() }
-        if (body !is BodyResult.Read) return bodyError(body)
+        if (body !is BodyResult.Read) return bodyError(exchange, body)
         val forwarded = forwardedRequest(exchange, active, route, callerLimit, body)
         exchange.forwarded = forwarded
         val remaining = exchange.arrivedAt + timeout - clock()
@@ -149,33 +153,64 @@
         } ?: timedOut(forwarded)
     }
 
-    private fun invalidHead(fault: Throwable): Reply = if (fault is TooLongFrameException) {
-        Reply.Failed(HEADERS_TOO_LARGE, "headers-too-large")
-    } else {
-        Reply.Failed(BAD_REQUEST, "malformed-head")
+    private fun invalidHead(exchange: CallerExchange, fault: Throwable): Reply {
+        exchange.refused = exchange.request.faultSample
+        return if (fault is TooLongFrameException) {
+            Reply.Failed(HEADERS_TOO_LARGE, "headers-too-large")
+        } else {
+            Reply.Failed(BAD_REQUEST, "malformed-head")
+        }
+    }
+
+    private fun noRoute(exchange: CallerExchange): Reply {
+        val request = exchange.request
+        exchange.refused = RefusedText.sample("${request.header("Host")} ${request.path}")
+        return Reply.Failed(NOT_FOUND, "no-route")
     }
 
     private fun headErrorOrNull(exchange: CallerExchange, active: ActiveConfig): Reply? {
         val deadline: String? = exchange.request.header(headerNames.deadlineMillis)
         val isDeadlineValid = deadline == null || deadline.toLongOrNull()?.let { it >= 0 } == true
+        val headers = exchange.request.headers
         return when {
-            exchange.id == null -> Reply.Failed(BAD_REQUEST, "no-request-id")
+            exchange.id == null -> {
+                exchange.refused = RefusedText.sample(headers.names().joinToString(","))
+                Reply.Failed(BAD_REQUEST, "no-request-id")
+            }
 
-            headerBytes(exchange.request) > active.config.callerLimits.maximumHeaderBytes ->
+            headerBytes(exchange.request) > active.config.callerLimits.maximumHeaderBytes -> {
+                val longest = headers.maxByOrNull { it.value.length }
+                exchange.refused = RefusedText.sample(
+                    "${headerBytes(exchange.request)} bytes, target ${exchange.request.uri.length}, " +
+                        "${headers.size()} fields, ${longest?.value?.length} in ${longest?.key}",
+                )
                 Reply.Failed(HEADERS_TOO_LARGE, "headers-too-large")
+            }
 
-            !isDeadlineValid -> Reply.Failed(BAD_REQUEST, "bad-deadline")
+            !isDeadlineValid -> {
+                exchange.refused = RefusedText.sample(deadline.orEmpty())
+                Reply.Failed(BAD_REQUEST, "bad-deadline")
+            }
 
             else -> null
         }
     }
 
     /** Reply to a request without a usable [body]; `null` means that the body did not arrive in time. */
-    private fun bodyError(body: BodyResult?): Reply = when (body) {
+    private fun bodyError(exchange: CallerExchange, body: BodyResult?): Reply = when (body) {
         null -> Reply.NotRun(REQUEST_TIMEOUT, "body-late", null)
-        BodyResult.TooLong -> Reply.Failed(BODY_TOO_LARGE, "body-too-large")
+
+        BodyResult.TooLong -> {
+            exchange.refused = RefusedText.sample("Content-Length ${exchange.request.header("Content-Length")}")
+            Reply.Failed(BODY_TOO_LARGE, "body-too-large")
+        }
+
         BodyResult.NoMemory -> Reply.NotRun(SERVICE_UNAVAILABLE, "no-body-memory", DEFAULT_RETRY_AFTER)
-        else -> Reply.Failed(BAD_REQUEST, "body-broken")
+
+        else -> {
+            exchange.refused = exchange.request.faultSample
+            Reply.Failed(BAD_REQUEST, "body-broken")
+        }
     }
 
     private fun forwardedRequest(
@@ -302,6 +337,9 @@
             is Reply.Failed -> reply.status to reply.reason
         }
         metrics.countReply(reason)
+        if (status in CLIENT_ERRORS && reply !is Reply.FromTarget && reply !is Reply.Streamed) {
+            metrics.countOwnClientError(status, reason)
+        }
         metrics.observeLatency(waited)
         log.request(
             "reply",
@@ -319,6 +357,7 @@
             "sends" to exchange.forwarded?.sendCount,
             "status" to status,
             "reason" to reason,
+            "refused" to exchange.refused,
             "waited_ms" to waited.inWholeMilliseconds,
             "retry_after_ms" to (reply as? Reply.NotRun)?.retryAfter?.inWholeMilliseconds,
         )
@@ -335,6 +374,7 @@
 
     private companion object {
         const val BAD_REQUEST = 400
+        val CLIENT_ERRORS = 400..499
         const val NOT_FOUND = 404
         const val REQUEST_TIMEOUT = 408
         const val BODY_TOO_LARGE = 413
