Routes: a host with the dot of the root domain is found

Callers saw 404 (no-route) for "Host: test.example." with or without a port, which names the same host (RFC 3986, section 3.2.2). Cause: the host was compared with the dot.

--- a/core/src/main/kotlin/org/anvilshed/core/ingress/RouteTable.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/ingress/RouteTable.kt
@@ -3,12 +3,12 @@
 /** Finds the route of a request by host and longest path prefix. Immutable; may be used by any thread. */
 public class RouteTable(routes: List<IngressRoute>) {
     private val routesByHost: Map<String, Map<String, IngressRoute>> =
-        routes.groupBy { it.host.lowercase() }.mapValues { (_, ofHost) -> ofHost.associateBy { it.pathPrefix } }
+        routes.groupBy { hostWithoutPort(it.host) }.mapValues { (_, ofHost) -> ofHost.associateBy { it.pathPrefix } }
 
     /**
      * Returns the route of [host] with the longest prefix of [path], or `null` if there is none.
      *
-     * @param host host name of the request, with or without a port.
+     * @param host host name of the request, with or without the dot of the root domain and a port.
      */
     public fun findOrNull(host: String, path: String): IngressRoute? {
         val routesByPrefix = routesByHost[hostWithoutPort(host)] ?: return null
@@ -21,5 +21,5 @@
         return null
     }
 
-    private fun hostWithoutPort(host: String): String = host.substringBefore(':').lowercase()
+    private fun hostWithoutPort(host: String): String = host.substringBefore(':').removeSuffix(".").lowercase()
 }
--- a/core/src/test/kotlin/org/anvilshed/core/ingress/RouteTableTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/ingress/RouteTableTest.kt
@@ -37,7 +37,9 @@
             table.findOrNull("three.example", "/a/") shouldBe null
         }
 
-        test("the host is matched without its port and without regard to case") {
+        test("the host is matched without its port, without the dot of the root domain and without regard to case") {
             table.findOrNull("TWO.example:8080", "/x")?.host shouldBe "two.example"
+            table.findOrNull("two.example.", "/x")?.host shouldBe "two.example"
+            table.findOrNull("two.example.:80", "/x")?.host shouldBe "two.example"
         }
     })
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/ProperRequestFormsTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/ProperRequestFormsTest.kt
@@ -83,6 +83,34 @@
             }
         }
 
+        test("a request is served whatever the form of its host and of the fields around it") {
+            withTargets(::respondWithId) { testbed, _ ->
+                shouldServe(
+                    testbed,
+                    mapOf(
+                        "port" to get(host = "Host: test.example:8080\r\n"),
+                        "capitals" to get(host = "HOST: TEST.Example\r\n"),
+                        "no space" to get(host = "host:test.example\r\n"),
+                        "tabs and spaces" to get(host = "Host: \t test.example \t \r\n"),
+                        "trailing dot" to get(host = "Host: test.example.\r\n"),
+                        "trailing dot and port" to get(host = "Host: test.example.:80\r\n"),
+                        "name in capitals" to get().replace("X-Id", "x-ID"),
+                        "empty value" to get(headers = "X-Empty:\r\n"),
+                        "value in UTF-8" to get(headers = "X-Name: \u00e9\u4e16\r\n"),
+                        "all token characters" to get(headers = "!#$%&'*+-.^_`|~09aZ: v\r\n"),
+                        "folded value" to get(headers = "X-Folded: one\r\n two\r\n\tthree\r\n"),
+                        "field twice" to get(headers = "X-Field: 1\r\nX-Field: 2\r\n"),
+                        "connection" to get(headers = "Connection: Keep-Alive, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\n"),
+                        "upgrade" to get(headers = "Connection: Upgrade\r\nUpgrade: h2c\r\n"),
+                        "length of no body" to get(headers = "Content-Length: 0\r\n"),
+                        "secrets" to get(headers = "Authorization: Basic QQ==\r\nCookie: a=b; c=\"d\"\r\n"),
+                        "many fields" to get(headers = (1..600).joinToString("") { "X-Field-$it: value\r\n" }),
+                        "empty lines before" to "\r\n\r\n" + get(),
+                    ),
+                )
+            }
+        }
+
         test("a request is served whatever the form of its target, which reaches the server as it was sent") {
             withTargets(::respondWithId) { testbed, (target) ->
                 val targets = listOf(
