Callers: the host of an absolute URI selects the route

Callers saw 404 (no-route) for a request whose host only its absolute URI states, as with HTTP/1.0 or an empty Host header. Cause: only the header was looked at (RFC 9112, section 3.2.2: the header is ignored then). Targets got the absolute URI where they expect the path.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerRequest.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerRequest.kt
@@ -50,10 +50,15 @@
     bodyMemory: MemoryBudget,
 ) {
     val method: HttpMethod = HttpMethod.valueOf(head.method().name())
-    val uri: String = head.uri()
-    val path: String = pathOf(uri)
+    private val target = RequestTarget.parse(head.uri())
+
+    /** Path and query, without the host that an absolute URI states. */
+    val uri: String = target.pathAndQuery
+    val path: String = target.path
     val headers: MultiMap = HttpHeaders.headers().apply {
         for ((name, value) in head.headers().iteratorAsString()) add(name, value)
+        // The host of an absolute URI replaces the header (RFC 9112, section 3.2.2).
+        if (target.authority != null) set(HttpHeaders.HOST, target.authority)
     }
 
     /** Why the head is invalid; `null` if it is valid. */
@@ -155,14 +160,4 @@
         isEnded = true
         onAborted(end)
     }
-
-    private companion object {
-        private val SCHEME_AND_AUTHORITY = Regex("^[a-zA-Z][a-zA-Z0-9+.-]*://[^/?#]*")
-
-        /** Returns the path of a request target, which may be an absolute URI (RFC 9112, section 3.2.2). */
-        fun pathOf(uri: String): String {
-            val target = if (uri.startsWith("/")) uri else uri.replace(SCHEME_AND_AUTHORITY, "")
-            return target.substringBefore('#').substringBefore('?')
-        }
-    }
 }
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/ProperRequestFormsTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/ProperRequestFormsTest.kt
@@ -128,6 +128,23 @@
             }
         }
 
+        // Guards against a 404 for a request whose host only its target states.
+        test("a request with an absolute URI is served, and its target gets the path") {
+            withTargets(::respondWithId) { testbed, (target) ->
+                shouldServe(
+                    testbed,
+                    mapOf(
+                        "absolute" to get(target = "http://test.example/safe/a?b=c"),
+                        "port and capitals" to get(target = "HTTP://TEST.example:80/safe/a?b=c"),
+                        "no Host" to get(target = "http://test.example/safe/a?b=c", host = ""),
+                        "empty Host" to get(target = "http://test.example/safe/a?b=c", host = "Host:\r\n"),
+                    ),
+                )
+                target.received.map { it.line }.toSet() shouldBe
+                    setOf("GET /safe/a?b=c HTTP/1.1", "GET /safe/ HTTP/1.1")
+            }
+        }
+
         test("a body of exactly the allowed size is served, with a length and in chunks, and a longer one is refused") {
             withTargets(::respondWithId) { testbed, (target) ->
                 val body = "x".repeat(MAXIMUM_BODY_BYTES)
