Callers: a time limit may have a fraction or any size

A limit that has passed ("-1") got 400 as well and now gets 408 as "0" does, which promises that nothing has run.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
@@ -139,7 +139,7 @@
         val active = exchange.active ?: return Reply.NotRun(SERVICE_UNAVAILABLE, "no-config", DEFAULT_RETRY_AFTER)
         val route = exchange.route ?: return noRoute(exchange)
         headErrorOrNull(exchange, active)?.let { return it }
-        val callerLimit = exchange.request.header(headerNames.deadlineMillis)?.toLong()?.milliseconds
+        val callerLimit = exchange.request.header(headerNames.deadlineMillis)?.let(::parseTimeLimitOrNull)
         val timeout = minOf(callerLimit ?: route.timeout, route.timeout)
         val body = withTimeoutOrNull(timeout) { exchange.request.body.await() }
         if (body !is BodyResult.Read) return bodyError(exchange, body)
@@ -170,7 +170,7 @@
 
     private fun headErrorOrNull(exchange: CallerExchange, active: ActiveConfig): Reply? {
         val deadline: String? = exchange.request.header(headerNames.deadlineMillis)
-        val isDeadlineValid = deadline == null || deadline.toLongOrNull()?.let { it >= 0 } == true
+        val isDeadlineValid = deadline == null || parseTimeLimitOrNull(deadline) != null
         val headers = exchange.request.headers
         return when {
             exchange.id == null -> {
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/ProperRequestFormsTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/ProperRequestFormsTest.kt
@@ -145,6 +145,33 @@
             }
         }
 
+        // Guards against a 400 for a time limit that is no whole number or a very large one.
+        test("a time limit is read whatever its form, and one that has passed is a promise that nothing has run") {
+            withTargets(::respondWithId) { testbed, (target) ->
+                val limits = listOf(
+                    "2000",
+                    "  2000\t",
+                    "02000",
+                    "2000.0",
+                    "1999.75",
+                    "2000.",
+                    "9223372036854775808",
+                    "9".repeat(400),
+                )
+                shouldServe(testbed, limits.associateWith { get(headers = "X-Deadline: $it\r\n") })
+                val sent = target.received.map { it.headers.getValue("x-deadline").toInt() }
+                sent.filter { it > 2_000 } shouldContainExactly emptyList()
+                val count = target.received.size
+                for (limit in listOf("0", "0.0", "-1")) {
+                    withClue(limit) { testbed.raw(get(headers = "X-Deadline: $limit\r\n")).status shouldBe 408 }
+                }
+                for (limit in listOf("soon", "1e3", "0x10", "1 000", "NaN")) {
+                    withClue(limit) { testbed.raw(get(headers = "X-Deadline: $limit\r\n")).status shouldBe 400 }
+                }
+                target.received.size shouldBe count
+            }
+        }
+
         test("a body of exactly the allowed size is served, with a length and in chunks, and a longer one is refused") {
             withTargets(::respondWithId) { testbed, (target) ->
                 val body = "x".repeat(MAXIMUM_BODY_BYTES)
