Callers: a head of the allowed size without spaces is no longer refused

Callers saw 431 for a head within max_header_bytes whose fields have no space behind the colon: the size was counted with four bytes between the fields, though the space is optional. Evidence: ProperRequestFormsTest fails on with "no spaces: 431" and "empty values: 431".

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
@@ -385,8 +385,8 @@
         /** Memory for responses that are held whole; further responses are streamed. A sixth of the heap. */
         const val RESPONSE_MEMORY_BYTES = 32L * 1024 * 1024
 
-        /** Bytes for colon, space and line end of a header line. */
-        const val HEADER_SEPARATOR_BYTES = 4
+        /** Fewest bytes of a header line besides its name and value: the colon and the line end. */
+        const val HEADER_SEPARATOR_BYTES = 3
         const val RETRY_JITTER_FACTOR = 1.5
         const val MILLISECONDS_PER_SECOND = 1000.0
 
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/ProperRequestFormsTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/ProperRequestFormsTest.kt
@@ -172,6 +172,26 @@
             }
         }
 
+        // Guards against a 431 for a head whose bytes are within the limit, as its fields have no space behind the colon.
+        test("a head of exactly the allowed size is served, and a longer one is refused") {
+            withTargets(::respondWithId) { testbed, _ ->
+                fun head(size: Int, field: (Int) -> String): String {
+                    val fields = (1..100).joinToString("", transform = field)
+                    val filler = size - get(headers = fields + "X-Filler: \r\n").length
+                    return get(headers = fields + "X-Filler: ${"x".repeat(filler)}\r\n")
+                }
+                shouldServe(
+                    testbed,
+                    mapOf(
+                        "spaces" to head(MAXIMUM_HEADER_BYTES) { "X-Field-$it: value\r\n" },
+                        "no spaces" to head(MAXIMUM_HEADER_BYTES) { "X-Field-$it:value\r\n" },
+                        "empty values" to head(MAXIMUM_HEADER_BYTES) { "X-Field-$it:\r\n" },
+                    ),
+                )
+                testbed.raw(head(MAXIMUM_HEADER_BYTES + 1_000) { "X-Field-$it: value\r\n" }).status shouldBe 431
+            }
+        }
+
         test("a body of exactly the allowed size is served, with a length and in chunks, and a longer one is refused") {
             withTargets(::respondWithId) { testbed, (target) ->
                 val body = "x".repeat(MAXIMUM_BODY_BYTES)
