Strict clients: a waiting request gets no connection with stray bytes

Cause: when a response ended, the pool of Vert.x handed the connection to the request that waited for it, although bytes behind the response had already been seen. The request was not written, and its caller got 'Connection was closed', which says nothing of whether it was sent.

Change: withStrictResponses takes such a connection out of the pool when the bytes are seen, before the end of the response is passed on. The waiting request gets a new connection.

Evidence: StrictClientsTest, with a server on a real socket. 'a request that waits for a connection with stray bytes is sent once, on another connection' failed before (HttpClosedException) and passes now. The other five show that the codec is in place before the first response, also if the server writes before any request, and that a connection with stray bytes is not used again. A request whose connection got such bytes after it was obtained is not sent; its failure can't be told from a connection that was lost.

--- a/http/src/main/kotlin/org/anvilshed/http/StrictClients.kt
+++ b/http/src/main/kotlin/org/anvilshed/http/StrictClients.kt
@@ -20,7 +20,11 @@
 public fun HttpClientBuilder.withStrictResponses(
     onStrayBytes: (SocketAddress, String) -> Unit = { _, _ -> },
 ): HttpClientBuilder = withConnectHandler { connection ->
-    connection.useStrictCodec { onStrayBytes(connection.remoteAddress(), it) }
+    connection.useStrictCodec { bytes ->
+        // Takes the connection out of the pool now: with the end of the response, a waiting request would get it.
+        connection.shutdown()
+        onStrayBytes(connection.remoteAddress(), bytes)
+    }
 }
 
 /**
