Store and peers: a response that is not valid HTTP throws no unknown exception

Cause: for a head that can't be decoded, Vert.x fails the response with an IllegalArgumentException or a DecoderException. Neither the client of the store nor that of the peers' copies expects these, so they left list, watch or fetch, and the coroutine of a feed.

Change: HttpClient.call turns both into an IOException, InvalidResponseException.

Evidence: 'a response that is not valid HTTP counts as no answer, and does not throw' of PlatformStoreTest failed before ('invalid version format: HHTTP/1.1') and passes now.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/HttpCall.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/HttpCall.kt
@@ -1,10 +1,15 @@
 package org.anvilshed.gateway
 
+import io.netty.handler.codec.DecoderException
 import io.vertx.core.MultiMap
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.RequestOptions
 import io.vertx.kotlin.coroutines.coAwait
+import java.io.IOException
+
+/** The server's response is not valid HTTP. */
+public class InvalidResponseException(cause: Throwable) : IOException("invalid response: ${cause.message}", cause)
 
 /** Whole response to a [call]. */
 public class CallResponse(public val status: Int, public val headers: MultiMap, public val body: Buffer)
@@ -30,7 +35,7 @@
  * [RequestOptions.setConnectTimeout] bounds the time for obtaining a connection, also after the call was cancelled.
  *
  * @param pending counts the call while it is in progress.
- * @throws java.io.IOException if the connection fails.
+ * @throws IOException if the connection fails or the response is not valid HTTP.
  * @throws io.vertx.core.VertxException if the connection is closed before the response is complete.
  * @throws java.util.concurrent.TimeoutException if no connection was obtained in time.
  */
@@ -52,6 +57,10 @@
         val response = try {
             val sent = if (body == null) request.send() else request.send(body)
             sent.compose { head -> head.body().map { CallResponse(head.statusCode(), head.headers(), it) } }.coAwait()
+        } catch (fault: IllegalArgumentException) {
+            throw InvalidResponseException(fault)
+        } catch (fault: DecoderException) {
+            throw InvalidResponseException(fault)
         } finally {
             pending.forResponse--
         }
