Copies of peers: bytes outside a response become no part of the next one

Change: the client uses StrictClientCodec; such bytes are counted as anvilshed_stray_bytes_total{server="peer"} and logged as stray-bytes.

Evidence: 'a copy is not taken because of bytes outside a response' of PeerSnapshotsTest failed before, with bytes written 0 and 30 ms after a response (a copy was taken from a response with 404), and passes now.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -139,7 +139,10 @@
         isLeaving = { isLeaving },
         serve = ::serveCaller,
     )
-    private val snapshots = PeerSnapshots(vertx, feeds.byKind)
+    private val snapshots = PeerSnapshots(vertx, feeds.byKind) { address, bytes ->
+        metrics.countStrayBytes("peer")
+        log.request("stray-bytes", "server" to "peer", "address" to address, "bytes" to bytes)
+    }
     private val socket =
         AnnouncementSocket(
             vertx,
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerSnapshots.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerSnapshots.kt
@@ -19,15 +19,26 @@
 import org.anvilshed.gateway.store.StoreListing
 import org.anvilshed.gateway.store.StoreObject
 import org.anvilshed.gateway.store.StoreRevision
+import org.anvilshed.http.withStrictResponses
 import java.io.IOException
 import java.util.concurrent.TimeoutException
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Serves this VM's copies of store objects to peers, and fetches copies from peers. */
-internal class PeerSnapshots(vertx: Vertx, private val feeds: Map<StoreKind, StoreFeed>) {
-    private val client: HttpClientAgent = vertx.createHttpClient(
-        HttpClientOptions().setConnectTimeout(CALL_TIMEOUT.inWholeMilliseconds.toInt()).setKeepAlive(true),
-    )
+/**
+ * Serves this VM's copies of store objects to peers, and fetches copies from peers.
+ *
+ * @param onStrayBytes called with the address of a peer and the first bytes that it wrote outside a response; their
+ *   connection is closed.
+ */
+internal class PeerSnapshots(
+    vertx: Vertx,
+    private val feeds: Map<StoreKind, StoreFeed>,
+    onStrayBytes: (String, String) -> Unit = { _, _ -> },
+) {
+    private val client: HttpClientAgent = vertx.httpClientBuilder()
+        .with(HttpClientOptions().setConnectTimeout(CALL_TIMEOUT.inWholeMilliseconds.toInt()).setKeepAlive(true))
+        .withStrictResponses { address, bytes -> onStrayBytes(address.toString(), bytes) }
+        .build()
 
     /** Handles `GET /v1/objects/KIND`: responds with this VM's objects of the kind. */
     fun handle(request: HttpServerRequest) {
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/peers/PeerSnapshotsTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/peers/PeerSnapshotsTest.kt
@@ -4,12 +4,16 @@
 import io.kotest.matchers.shouldBe
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.anvilshed.core.SocketAddress
 import org.anvilshed.gateway.store.StoreKind
 import org.anvilshed.gateway.store.StoreRevision
 import org.anvilshed.gateway.testbed.ScriptedTarget
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration.Companion.milliseconds
 
+private const val STRAY = "HTTP/1.1 200 O"
 private const val COPY = """{"revision":20,"objects":[]}"""
 
 class PeerSnapshotsTest :
@@ -33,4 +37,43 @@
                 vertx.close()
             }
         }
+
+        test("a response that is not valid HTTP is no copy, and does not throw") {
+            ScriptedTarget { _, socket -> ScriptedTarget.write(socket, "HHTTP/1.1 200 OK\r\n\r\n") }.use { peer ->
+                val vertx = Vertx.vertx()
+                val snapshots = PeerSnapshots(vertx, emptyMap())
+                runBlocking(vertx.dispatcher()) {
+                    snapshots.fetchOrNull(SocketAddress("127.0.0.1", peer.port), StoreKind.TARGETS) shouldBe null
+                }
+                vertx.close()
+            }
+        }
+
+        for (delayMillis in listOf(0L, 30L)) {
+            test("a copy is not taken because of bytes outside a response, written $delayMillis ms after it") {
+                val strayBytes = CopyOnWriteArrayList<String>()
+                var status = "200 OK"
+                ScriptedTarget { _, socket ->
+                    val response = "HTTP/1.1 $status\r\nContent-Length: ${COPY.length}\r\n\r\n$COPY"
+                    if (delayMillis == 0L) return@ScriptedTarget ScriptedTarget.write(socket, response + STRAY)
+                    ScriptedTarget.write(socket, response)
+                    Thread.sleep(delayMillis)
+                    ScriptedTarget.write(socket, STRAY)
+                }.use { peer ->
+                    val vertx = Vertx.vertx()
+                    val snapshots = PeerSnapshots(vertx, emptyMap()) { address, bytes ->
+                        strayBytes.add("$address $bytes")
+                    }
+                    val address = SocketAddress("127.0.0.1", peer.port)
+                    runBlocking(vertx.dispatcher()) {
+                        snapshots.fetchOrNull(address, StoreKind.TARGETS)?.revision shouldBe StoreRevision(0, 20)
+                        status = "404 Not Found"
+                        delay(100.milliseconds)
+                        snapshots.fetchOrNull(address, StoreKind.TARGETS) shouldBe null
+                    }
+                    strayBytes.first() shouldBe "127.0.0.1:${peer.port} $STRAY"
+                    vertx.close()
+                }
+            }
+        }
     })
