Platform client: bytes outside a response become no part of the next one

Change: the client uses StrictClientCodec and reports such bytes to its owner.

The cli's own client of lookups sends one request and closes, so no response follows another on its connection.

--- a/wire/src/main/kotlin/org/anvilshed/wire/platform/VertxPlatformClient.kt
+++ b/wire/src/main/kotlin/org/anvilshed/wire/platform/VertxPlatformClient.kt
@@ -12,6 +12,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.anvilshed.http.withStrictResponses
 import java.net.ConnectException
 import java.net.UnknownHostException
 import java.nio.channels.UnresolvedAddressException
@@ -32,21 +33,25 @@
  * @param clientName name of the VM or operator, sent with each call.
  * @param url base URL of the platform, without a path.
  * @param requestTimeout maximum time of one call; a watch may take its own timeout in addition.
+ * @param onStrayBytes called with the first bytes that the platform wrote outside a response; their connection is
+ *   closed.
  */
 public class VertxPlatformClient(
     vertx: Vertx,
     private val url: String,
     private val clientName: String,
     private val requestTimeout: Duration,
+    onStrayBytes: (String) -> Unit = {},
 ) : PlatformClient,
     AutoCloseable {
     private val json = Json { ignoreUnknownKeys = true }
-    private val client: WebClient = WebClient.create(
-        vertx,
-        WebClientOptions()
-            .setFollowRedirects(false)
-            .setUserAgentEnabled(false)
-            .setConnectTimeout(requestTimeout.inWholeMilliseconds.toInt()),
+    private val options = WebClientOptions()
+        .setFollowRedirects(false)
+        .setUserAgentEnabled(false)
+        .setConnectTimeout(requestTimeout.inWholeMilliseconds.toInt())
+    private val client: WebClient = WebClient.wrap(
+        vertx.httpClientBuilder().with(options).withStrictResponses { _, bytes -> onStrayBytes(bytes) }.build(),
+        options,
     )
 
     override suspend fun get(key: String): PlatformResult<PlatformObject> =
