Feeds of the store: an unexpected exception ends none of them for good

What callers may see: routes that were added get 404 (DENIED), targets that left get requests (DRAIN), requests run outside their homes (HOME), at one VM for the rest of its life; such a VM looks ready.

Cause: the feeds of the store, its probe, the registration and the ticks each run in one coroutine, and an exception that none of them expects ended that coroutine, silently but for a stack trace.

Change: work that ends only with the process is started again after an unexpected exception, with a line `work-failed` and a counter.

Evidence: the new test of GatewayStoreTest failed before ('condition not met within 20s') and passes now.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.core.http.PoolOptions
 import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -173,10 +174,10 @@
         socket.open()
         listen(settings.listen.control) { snapshots.handle(it) }
         callers.listen(settings.listen.callers)
-        for (feed in feeds.byKind.values) scope.launch { feed.run() }
-        scope.launch { probe.run() }
-        scope.launch { registration.run() }
-        scope.launch { runTicks() }
+        for ((kind, feed) in feeds.byKind) keepRunning("feed $kind") { feed.run() }
+        keepRunning("store probe") { probe.run() }
+        keepRunning("registration") { registration.run() }
+        keepRunning("ticks") { runTicks() }
         log.info("started", "vm" to settings.name.value, "zone" to settings.placement.zone.value)
     }
 
@@ -237,6 +238,21 @@
         stopped.complete(Unit)
     }
 
+    /** Runs [work], which ends only with the process, and starts it again after an unexpected exception. */
+    private fun keepRunning(name: String, work: suspend () -> Unit) = scope.launch {
+        while (true) {
+            try {
+                work()
+            } catch (cancelled: CancellationException) {
+                throw cancelled
+            } catch (@Suppress("TooGenericExceptionCaught") fault: Exception) {
+                metrics.countUnexpectedFault()
+                log.warning("work-failed", "work" to name, "cause" to fault.stackTraceToString())
+            }
+            delay(RESTART_DELAY)
+        }
+    }
+
     private class EntryVm(val callers: SocketAddress, val zone: ZoneName)
 
     private fun ownEntry(): List<EntryVm> =
@@ -415,6 +431,9 @@
         val TICK_PERIOD = 20.milliseconds
         val SLOW_TICK_PERIOD = 250.milliseconds
 
+        /** Bounds the load of work that fails again and again; short against the limits of changes, 2.5 s and more. */
+        val RESTART_DELAY = 100.milliseconds
+
         /**
          * The load of all peers is summed up this often at most, as dozens of VMs announce theirs hundreds of times a
          * second. Shorter than the period of the announcements of one VM.
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/GatewayMetrics.kt
@@ -50,6 +50,12 @@
         .help("Connections closed because of bytes outside a response, by the server: target, store, peer.")
         .labelNames("server").register(registry)
 
+    private val unexpectedFaults = Counter.builder().name("anvilshed_unexpected_faults_total")
+        .help("Unexpected exceptions after which work of the process was started again.").register(registry)
+
+    /** Counts an unexpected exception after which work was started again. */
+    public fun countUnexpectedFault(): Unit = unexpectedFaults.inc()
+
     /** Counts a connection that was closed because [server] wrote bytes outside a response. */
     public fun countStrayBytes(server: String): Unit = strayBytes.labelValues(server).inc()
 
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayStoreTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayStoreTest.kt
@@ -41,6 +41,25 @@
             }
         }
 
+        // Guards against a VM that does not hear from the store for the rest of its life.
+        test("changes of the store come into effect after each kind of call failed in an unexpected way") {
+            GatewayTestbed().use { testbed ->
+                testbed.config(1)
+                testbed.target("target", target)
+                testbed.awaitReady()
+                repeat(8) {
+                    testbed.store.nextFault = IllegalStateException("fault $it")
+                    // Ends a watch of each kind, so that new calls are made.
+                    testbed.store.silenceOpenConnections()
+                    await { testbed.store.nextFault == null }
+                }
+                testbed.config(2)
+                await { testbed.call("/new/").status == 200 }
+                testbed.target("target", target, draining = true)
+                await { testbed.call("/new/").status == 503 }
+            }
+        }
+
         test("a draining target and a target whose entry was removed get no more requests") {
             GatewayTestbed().use { testbed ->
                 testbed.config(1)
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/InMemoryStore.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/InMemoryStore.kt
@@ -33,6 +33,10 @@
     @Volatile
     var isDown = false
 
+    /** Thrown by the next call, as by a fault of the client. */
+    @Volatile
+    var nextFault: RuntimeException? = null
+
     /** Whether watches return nothing, not even changes, before their wait has passed. */
     @Volatile
     var areWatchesStalled = false
@@ -106,6 +110,10 @@
 
     /** Returns what [call] returns, unless the connection has gone silent before the end of the call. */
     private suspend fun <T> answer(call: suspend () -> T): T {
+        nextFault?.let { fault ->
+            nextFault = null
+            throw fault
+        }
         val connection = renewals
         val result = call()
         if (connection < silentRenewals) awaitCancellation()
