Strict clients: no line of a head or trailer is read leniently

Now a name that is followed by anything but a colon makes the head or trailer invalid, an invalid chunk or trailer makes the connection unusable as well, and a connection that was reset before its codec could be replaced counts as unusable instead of throwing. Line ends between responses are ignored: decoders skip them in front of a status line, so they can't become part of a response, and a target that writes them would have cost a connection for each request.

--- a/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
+++ b/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
@@ -9,12 +9,14 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.AsciiString
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
 
@@ -24,8 +26,8 @@
 /**
  * Codec of a client's HTTP/1.1 connection on which each byte belongs to the response of exactly one request.
  *
- * Bytes that are received while no response is due make the connection unusable: nothing is written on it any more,
- * and it is closed once the last response is delivered. Without that, they would wait in the decoder and become the
+ * Bytes other than line ends that are received while no response is due make the connection unusable: nothing is written
+ * on it any more, and it is closed once the last response is delivered. Without that, they would wait in the decoder and become the
  * beginning of the next response. A head that contains parts of two responses is invalid, since such bytes may also
  * arrive after the next request was sent.
  *
@@ -47,6 +49,11 @@
         this.init(ResponseDecoder(maximumHeaderBytes), HttpRequestEncoder())
     }
 
+    /** Makes the connection unusable. */
+    internal fun invalidate() {
+        isClean = false
+    }
+
     override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
         if (!isClean) {
             ReferenceCountUtil.release(message)
@@ -73,18 +80,22 @@
             output.forEach(::observe)
             if (isInterim) output.clear()
             // Also rejected here, before the end of the response is passed on and the connection is used again.
-            if (isClean && unanswered.isEmpty() && input.isReadable) rejectStrayBytes(input)
+            if (isClean && unanswered.isEmpty()) rejectStrayBytes(input)
         }
 
         private fun observe(message: Any) {
             if (message is HttpResponse) {
                 isInterim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
-                if (message.decoderResult().isFailure) isClean = false
             }
+            if (message is HttpObject && message.decoderResult().isFailure) isClean = false
             if (message is LastHttpContent && !isInterim) unanswered.removeFirstOrNull()
         }
 
         private fun rejectStrayBytes(input: ByteBuf) {
+            // Decoders ignore line ends in front of a status line, so these become part of no response.
+            val first = input.forEachByte { it == '\r'.code.toByte() || it == '\n'.code.toByte() }
+            input.skipBytes(if (first < 0) input.readableBytes() else first - input.readerIndex())
+            if (first < 0) return
             isClean = false
             val sampleLength = minOf(input.readableBytes(), SAMPLE_BYTES)
             val sample = ByteBufUtil.getBytes(input, input.readerIndex(), sampleLength)
@@ -97,6 +108,12 @@
             return super.createMessage(initialLine)
         }
 
+        /** A name that is followed by anything but a colon may be the rest of a line into which another one was merged. */
+        override fun splitHeaderName(line: ByteArray, start: Int, length: Int): AsciiString {
+            require(line.getOrNull(start + length) == ':'.code.toByte()) { "no colon behind the name of a field" }
+            return super.splitHeaderName(line, start, length)
+        }
+
         /** Called once for each complete head; an exception makes the decoder report the response as invalid. */
         override fun isContentAlwaysEmpty(message: HttpMessage): Boolean {
             val headers = message.headers()
--- a/http/src/main/kotlin/org/anvilshed/http/StrictClients.kt
+++ b/http/src/main/kotlin/org/anvilshed/http/StrictClients.kt
@@ -39,7 +39,13 @@
     onStrayBytes: (String) -> Unit,
 ): StrictClientCodec {
     val codec = StrictClientCodec(maximumHeaderBytes, onStrayBytes)
-    channelHandlerContext(this).pipeline().replace(HttpClientCodec::class.java, "codec", codec)
+    val pipeline = channelHandlerContext(this).pipeline()
+    // A connection that was reset in the meantime has no handlers any more.
+    if (pipeline.get(HttpClientCodec::class.java) == null) {
+        codec.invalidate()
+    } else {
+        pipeline.replace(HttpClientCodec::class.java, "codec", codec)
+    }
     return codec
 }
 
--- a/http/src/test/kotlin/org/anvilshed/http/StrictClientCodecTest.kt
+++ b/http/src/test/kotlin/org/anvilshed/http/StrictClientCodecTest.kt
@@ -134,6 +134,8 @@
             "an unknown version" to "HTTP/1.1HTTP/1.1 200 OK\r\n\r\n",
             "a change of protocol" to "HTTP/1.1 101 Switching Protocols\r\n\r\n",
             "a field without a name" to "HTTP/1.1 200 OK\r\nHTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
+            "a field without a colon" to "HTTP/1.1 200 OK\r\nfoo HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
+            "a space in front of a colon" to "HTTP/1.1 200 OK\r\nfoo HTTP/1.1 500 a: b\r\nContent-Length: 0\r\n\r\n",
             "a status line in a field" to "HTTP/1.1 200 OK\r\nServer: xHTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
             "two lengths" to "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
             "a length beside chunks" to
@@ -177,6 +179,52 @@
             }
         }
 
+        // Guards against lines that a decoder reads leniently, so that a status line disappears in one of them.
+        test("no response has the status of bytes that are no response") {
+            val random = Random(38)
+            val pieces = listOf(
+                "HTTP/1.1 200 OK", "HTTP/1.1 404 Gone", "http/1.1 200", "\r\n", "\r\n", "\r\n", "\n", "\r", " ", "\t", ":", ";",
+                "foo", "Server: x", "X-Not-Run", "Content-Length: 0", "Transfer-Encoding: chunked", "\u0000", "0", "\u000b",
+            )
+            val statuses = listOf("500 Error", "503 Slow", "201 Created")
+            repeat(20_000) { round ->
+                val connection = Connection()
+                connection.send()
+                connection.receive(response("200 OK"))
+                connection.responses.clear()
+                connection.send()
+                val stray = (0..random.nextInt(9)).joinToString("") { pieces.random(random) }
+                val expected = statuses.random(random)
+                (stray + response(expected)).chunked(1 + random.nextInt(80)).forEach(connection::receive)
+                val isWholeResponse = "\r\n\r\n" in stray || "\n\n" in stray || "\n\r\n" in stray
+                if (!isWholeResponse) {
+                    withClue("round $round: ${stray.replace("\r", "<r>").replace("\n", "<n>")}, $expected") {
+                        connection.responses.filter { it != "${expected.take(3)} ok" }.shouldBeEmpty()
+                    }
+                }
+            }
+        }
+
+        test("line ends between responses are ignored") {
+            val connection = Connection()
+            repeat(3) {
+                connection.send() shouldBe true
+                connection.receive(response("200 OK") + "\r\n")
+                connection.receive("\r\n")
+            }
+            connection.responses.shouldContainExactly("200 ok", "200 ok", "200 ok")
+            connection.isClean shouldBe true
+        }
+
+        test("an invalid chunk makes the connection unusable") {
+            for (chunk in listOf("zz\r\n", "0\r\nfoo HTTP/1.1 500 Error\r\n\r\n")) {
+                val connection = Connection()
+                connection.send()
+                connection.receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n$chunk")
+                connection.isClean shouldBe false
+            }
+        }
+
         test("a sample of endless bytes is bounded") {
             val connection = Connection()
             connection.send()
