Targets: a body that was cut short is not filled by a second response

A target that cuts a response short and keeps the connection, and then answers once more, fills the stated length with the second response.

Nothing but the body itself tells; now a held body in which a status line begins, and which bytes outside a response follow, counts as one that ended early.

Not covered: a second response that fills the body exactly or whose rest comes in a later segment, and responses over 256 KiB.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
@@ -45,6 +45,10 @@
     val isUsable: Boolean
         get() = isOpen && codec.isClean
 
+    /** The first bytes outside a response as text; `null` if there are none. */
+    val strayBytes: String?
+        get() = codec.strayBytes
+
     private val requestIds = LinkedHashSet<String>()
     private var requestCount = 0
 
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
@@ -13,6 +13,7 @@
 import org.anvilshed.gateway.HeldBytes
 import org.anvilshed.gateway.MemoryBudget
 import org.anvilshed.gateway.RequestHeaderNames
+import org.anvilshed.http.isFilledByNextResponse
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -175,7 +176,16 @@
                 response.getHeader("Content-Length") != null || response.getHeader("Transfer-Encoding") != null
             isResponseReusable = hasFraming && failure == null && keepsConnectionOpen(response)
             largeBodyEnded.complete(failure == null)
-            if (failure == null) result.complete(completed(response, body.toBuffer(), report))
+            if (failure == null) complete(response, body.toBuffer(), report)
+        }
+    }
+
+    private fun complete(response: HttpClientResponse, body: Buffer, report: LoadReport?) {
+        val strayBytes = connection.strayBytes
+        if (strayBytes != null && isFilledByNextResponse(body.toString(Charsets.ISO_8859_1), strayBytes)) {
+            broken("response ended early: its body contains another response")
+        } else {
+            result.complete(completed(response, body, report))
         }
     }
 
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayStrayBytesTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayStrayBytesTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
 import org.anvilshed.gateway.testbed.GatewayTestbed
 import org.anvilshed.gateway.testbed.ReceivedRequest
 import org.anvilshed.gateway.testbed.ScriptedTarget
@@ -97,4 +98,31 @@
                 }
             }
         }
+
+        // Guards against a success whose body is that of a response which was cut short, filled up by the next one.
+        test("a body that was cut short is not filled by a second response") {
+            for (missing in listOf(1, 5, 9, 40, 60)) {
+                val cutShort: (ReceivedRequest, Socket) -> Unit = { request, socket ->
+                    val head = "HTTP/1.1 200 OK\r\nX-Id: ${request.id}\r\nContent-Length: 100\r\n\r\n"
+                    ScriptedTarget.write(socket, head + "a".repeat(100 - missing))
+                    Thread.sleep(StutteringTarget.IDLE_MILLIS)
+                    ScriptedTarget.write(socket, head + "a".repeat(100))
+                }
+                withTargets(cutShort) { testbed, _ ->
+                    withClue("$missing bytes") {
+                        testbed.call("/once/", method = "POST", body = "x").status shouldBe BAD_GATEWAY
+                    }
+                }
+            }
+        }
+
+        test("a whole body that is followed by a second response is delivered") {
+            val twice: (ReceivedRequest, Socket) -> Unit = { request, socket ->
+                val response = "HTTP/1.1 200 OK\r\nX-Id: ${request.id}\r\nContent-Length: 2\r\n\r\nok"
+                ScriptedTarget.write(socket, response + response)
+            }
+            withTargets(twice) { testbed, _ ->
+                repeat(5) { testbed.call("/once/", id = "id-$it", method = "POST", body = "x").body shouldBe "ok" }
+            }
+        }
     })
--- a/http/src/main/kotlin/org/anvilshed/http/ResponseHeadFaults.kt
+++ b/http/src/main/kotlin/org/anvilshed/http/ResponseHeadFaults.kt
@@ -28,3 +28,13 @@
 /** Returns whether the value of a field contains the status line of another response. */
 internal fun containsStatusLine(fieldValue: String): Boolean =
     VERSION_PREFIX in fieldValue && NEXT_STATUS_LINE.containsMatchIn(fieldValue)
+
+/**
+ * Returns whether a status line begins in [body], which [next] followed on the connection.
+ *
+ * If bytes outside a response follow a body with a status line, the body was cut short, and a later response filled it.
+ */
+public fun isFilledByNextResponse(body: String, next: String): Boolean {
+    val line = NEXT_STATUS_LINE.find(body + next) ?: return false
+    return line.range.first < body.length
+}
--- a/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
+++ b/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
@@ -41,6 +41,10 @@
     /** Methods of the requests whose responses are not complete, oldest first. */
     private val unanswered = ArrayDeque<HttpMethod>()
 
+    /** The first bytes outside a response as text; `null` if there are none. */
+    public var strayBytes: String? = null
+        private set
+
     /** Whether every byte received so far belongs to a valid response. */
     public var isClean: Boolean = true
         private set
@@ -99,7 +103,9 @@
             isClean = false
             val sampleLength = minOf(input.readableBytes(), SAMPLE_BYTES)
             val sample = ByteBufUtil.getBytes(input, input.readerIndex(), sampleLength)
-            onStrayBytes(sample.joinToString("", transform = ::printable))
+            val text = sample.joinToString("", transform = ::printable)
+            strayBytes = text
+            onStrayBytes(text)
         }
 
         override fun createMessage(initialLine: Array<String>): HttpMessage {
