--- a/gateway/src/main/kotlin/org/anvilshed/gateway/callers/RefusedText.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/callers/RefusedText.kt
@@ -8,8 +8,8 @@
     private const val FIRST_PRINTABLE = 0x20
     private const val LAST_PRINTABLE = 0x7e
     private const val BYTE_MASK = 0xff
-    private val REQUEST_LINE = Regex("""[!-~]+ [!-~]+ HTTP/\d\.\d\r""")
-    private val FIELD_LINE = Regex("""[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t -~\x80-\xff]*\r""")
+    private val REQUEST_LINE = Regex("""[!-~]+ [!-~]+ HTTP/\d\.\d""")
+    private val FIELD_LINE = Regex("""[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t -~\x80-\xff]*""")
     private val FRAMING = Regex("""(content-length|transfer-encoding)\s*:.*""", RegexOption.IGNORE_CASE)
     private val SECRET = Regex("""^.*?(authorization|cookie)""", RegexOption.IGNORE_CASE)
 
@@ -32,14 +32,17 @@
      * @param startsWithRequestLine whether [head] starts with the first byte of the request.
      */
     fun offendingLine(head: String, startsWithRequestLine: Boolean): String {
-        val lines =
-            redact(head.substringBefore("\n\r\n").trimStart('\r', '\n').split('\n').map { it.removeSuffix("\r") })
-        val offending = lines.filterIndexed { index, line ->
+        val rawLines = head.substringBefore("\n\r\n").trimStart('\r', '\n').split('\n')
+        val lines = redact(rawLines.map { it.removeSuffix("\r") })
+        val offending = lines.withIndex().firstOrNull { (index, line) ->
             val form = if (index == 0 && startsWithRequestLine) REQUEST_LINE else FIELD_LINE
-            !form.matches(line + "\r")
-        }.firstOrNull()
+            // The end of the last line may not have arrived.
+            val endsInLineFeed = index < lines.lastIndex && !rawLines[index].endsWith('\r')
+            endsInLineFeed || !form.matches(line)
+        }
+        if (offending != null) return sample(offending.value)
         val framing = lines.filter(FRAMING::matches).joinToString("; ")
-        return sample(offending ?: framing.ifEmpty { lines.maxBy { it.length } })
+        return sample(framing.ifEmpty { lines.maxBy { it.length } })
     }
 
     private fun redact(lines: List<String>): List<String> {
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/PipelinedRequestTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/PipelinedRequestTest.kt
@@ -99,6 +99,15 @@
             }
         }
 
+        // RFC 9112, section 2.2: a line ends with both characters; a recipient may refuse other ends.
+        test("a head whose lines end with bare line feeds is refused, and its connection closes") {
+            withTargets(::respondWithId) { testbed, (target) ->
+                shouldRejectBehindRequest(testbed, get("1").replace("\r\n", "\n"))
+                shouldRejectBehindRequest(testbed, get("1", headers = "X-Field: 1\nX-Other: 2\r\n"))
+                target.received.map { it.id }.toSet() shouldBe setOf("0")
+            }
+        }
+
         test("a body that looks like an ambiguous head is no head") {
             withTargets(::respondWithId) { testbed, (target) ->
                 val body = "GET / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/RefusedTextTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/RefusedTextTest.kt
@@ -18,6 +18,7 @@
                 "GET / HTTP/1.1\r\nA: \u0000\r\n\r\n" to "A: \\x00",
                 "GET / HTTP/1.1\r\nContent-Length: 1\r\nA: b\r\ncontent-length: 2\r\n\r\n" to
                     "Content-Length: 1; content-length: 2",
+                "GET / HTTP/1.1\r\nHost: a\nA: b\r\n\r\n" to "Host: a",
                 "" to "",
             )
             for ((head, line) in cases) withClue(head) { RefusedText.offendingLine(head, true) shouldBe line }
