Targets: news of a leaving process hold for an entry that was removed or stays long

A response with Server-Leaving that arrived after the entry of its process was removed was dropped, and so was the memory of one that stayed registered for over 60 s, at once when its entry was removed. When an older entry returned, as from a restored store, the process got requests again (DRAIN).

--- a/core/src/main/kotlin/org/anvilshed/core/fleet/TargetDirectory.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/fleet/TargetDirectory.kt
@@ -16,7 +16,7 @@
 public class TargetDirectory {
     private val registered = HashMap<String, RegisteredTarget>()
     private val lapsing = HashMap<String, LapsingTarget>()
-    private val leavingSince = HashMap<TargetKey, MonotonicTime>()
+    private val leaving = HashMap<TargetKey, LeavingTarget>()
     private var evacuated: Set<ZoneName> = emptySet()
     private val lostEvacuationsUntil = HashMap<ZoneName, MonotonicTime>()
     private val coldZonesUntil = HashMap<ZoneName, MonotonicTime>()
@@ -25,8 +25,8 @@
     public val targets: Collection<RegisteredTarget>
         get() {
             val known = registered.values + lapsing.values.map { it.target }
-            if (leavingSince.isEmpty()) return known
-            return known.map { if (it.key in leavingSince) it.copy(draining = true) else it }
+            if (leaving.isEmpty()) return known
+            return known.map { if (it.key in leaving) it.copy(draining = true) else it }
         }
 
     /** Zones whose targets must get no requests. */
@@ -35,15 +35,17 @@
 
     /** Records that the process [key] said at [now] that it leaves; returns whether that is new of a known target. */
     public fun recordLeaving(key: TargetKey, now: MonotonicTime): Boolean {
-        if (key in leavingSince || targets.none { it.key == key }) return false
-        leavingSince[key] = now
+        if (key in leaving) return false
+        val isKnown = targets.any { it.key == key }
+        // The entry of an unknown one may have been removed, and an older one may return.
+        leaving[key] = LeavingTarget(since = now, lastKnownAt = now)
         lapsing.values.removeIf { it.target.key == key }
-        return true
+        return isKnown
     }
 
     /** Returns the processes that are known to leave since less than [time] before [now]. */
     public fun leavingWithin(time: Duration, now: MonotonicTime): List<TargetKey> =
-        if (leavingSince.isEmpty()) emptyList() else leavingSince.filterValues { now - it < time }.keys.toList()
+        if (leaving.isEmpty()) emptyList() else leaving.filterValues { now - it.since < time }.keys.toList()
 
     /** Names of the targets that are kept although their entries disappeared. */
     public val lapsingNames: Set<String>
@@ -109,9 +111,8 @@
 
     /** Drops entries and evacuations that were not written again by [now]; returns their names. */
     public fun expire(now: MonotonicTime): List<String> {
-        leavingSince.entries.removeIf { (key, since) ->
-            now - since >= LEAVING_MEMORY && registered[key.name]?.key != key
-        }
+        for ((key, target) in leaving) if (registered[key.name]?.key == key) target.lastKnownAt = now
+        leaving.values.removeIf { now - it.lastKnownAt >= LEAVING_MEMORY }
         if (lapsing.isEmpty() && lostEvacuationsUntil.isEmpty()) return emptyList()
         val endedEvacuations = lostEvacuationsUntil.filterValues { it <= now }.keys.toList()
         lostEvacuationsUntil.keys.removeAll(endedEvacuations.toSet())
@@ -121,14 +122,13 @@
     }
 
     private fun keep(target: RegisteredTarget, until: MonotonicTime?) {
-        if (until != null &&
-            !target.draining &&
-            target.key !in leavingSince
-        ) {
-            lapsing[target.key.name] = LapsingTarget(target, until)
-        }
+        if (until == null || target.draining || target.key in leaving) return
+        lapsing[target.key.name] = LapsingTarget(target, until)
     }
 
+    /** Process that said at [since] that it leaves, and was last registered, or said so, at [lastKnownAt]. */
+    private class LeavingTarget(val since: MonotonicTime, var lastKnownAt: MonotonicTime)
+
     private class LapsingTarget(val target: RegisteredTarget, val until: MonotonicTime)
 
     public companion object {
--- a/core/src/test/kotlin/org/anvilshed/core/fleet/TargetDirectoryTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/fleet/TargetDirectoryTest.kt
@@ -112,4 +112,34 @@
             directory.put(target("a"))
             directory.targets.single().draining shouldBe true
         }
+
+        // Guards against a response that arrives after the removal of the entry and is forgotten.
+        test("a target that says that it leaves after its entry was removed is not used when an older entry returns") {
+            val directory = TargetDirectory()
+            directory.put(target("a"))
+            directory.remove("a", mayReturnUntil = null)
+            directory.recordLeaving(TargetKey("a", 1), start)
+            directory.put(target("a"))
+            directory.targets.single().draining shouldBe true
+        }
+
+        // Guards against news that are forgotten at once when a target that took long to leave is removed.
+        test("a target that left long after it said so is not used when an older entry returns after its removal") {
+            val directory = TargetDirectory()
+            directory.put(target("a"))
+            directory.recordLeaving(TargetKey("a", 1), start)
+            directory.expire(start + 100.seconds)
+            directory.remove("a", mayReturnUntil = null)
+            directory.expire(start + 130.seconds)
+            directory.put(target("a"))
+            directory.targets.single().draining shouldBe true
+        }
+
+        test("a request does not reach the former run of a name, and its next run is not the one that left") {
+            val directory = TargetDirectory()
+            directory.put(target("a"))
+            directory.recordLeaving(TargetKey("a", 1), start)
+            directory.put(target("a").copy(key = TargetKey("a", 2)))
+            directory.targets.map { it.key to it.draining } shouldContainExactly listOf(TargetKey("a", 2) to false)
+        }
     })
--- a/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/placement/ServicePoolTest.kt
@@ -13,6 +13,7 @@
 import org.anvilshed.core.MonotonicTime
 import org.anvilshed.core.RegionName
 import org.anvilshed.core.fleet.RegisteredTarget
+import org.anvilshed.core.fleet.TargetKey
 import org.anvilshed.core.ingress.ServicePolicy
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.ZERO
@@ -220,6 +221,22 @@
             pool.mayReceive(target("a"), START) shouldBe false
         }
 
+        test("a request that was placed may not be sent once its target leaves, while its connection is opened") {
+            val pool = pool(target("a"), target("b"))
+            val sent = pool.send(START)
+            pool.mayReceive(sent.target, START) shouldBe true
+            val name = sent.target.key.name
+            val others = listOf("a", "b").filter { it != name }.map { target(it) }
+            pool.updateTargets(others + target(name).copy(draining = true), emptySet(), START)
+            pool.mayReceive(sent.target, START) shouldBe false
+            pool.updateTargets(others, emptySet(), START)
+            pool.mayReceive(sent.target, START) shouldBe false
+            // Another run has the name.
+            val nextRun = target(name).copy(key = TargetKey(name, sent.target.key.startedAtMillis + 1))
+            pool.updateTargets(others + nextRun, emptySet(), START)
+            pool.mayReceive(sent.target, START) shouldBe false
+        }
+
         test("a target that asked for a pause gets no request until it is over, and a refusal says when that is") {
             val pool = pool(target("a"), target("b"))
             val first = pool.send(START)
