--- a/gateway/src/test/kotlin/org/anvilshed/gateway/ProperRequestFormsTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/ProperRequestFormsTest.kt
@@ -172,7 +172,7 @@
             }
         }
 
-        // Guards against a 431 for a head whose bytes are within the limit, as its fields have no space behind the colon.
+        // Guards against a 431 for a head within the limit whose fields have no space behind the colon.
         test("a head of exactly the allowed size is served, and a longer one is refused") {
             withTargets(::respondWithId) { testbed, _ ->
                 fun head(size: Int, field: (Int) -> String): String {
