Daemon: bytes outside a response become no part of the next one

Change: the client uses StrictClientCodec; such bytes are counted as anvilshed_stray_bytes_total by server (target, platform) and logged. The protocol of these targets has no identifier in a response, so a whole response that arrives after the next request was sent is still taken for its own.

--- a/daemon/src/main/kotlin/org/anvilshed/daemon/DaemonWiring.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/DaemonWiring.kt
@@ -1,5 +1,6 @@
 package org.anvilshed.daemon
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.Vertx
 import io.vertx.core.VertxOptions
 import io.vertx.core.http.HttpClient
@@ -17,6 +18,7 @@
 import org.anvilshed.daemon.metrics.DaemonMetrics
 import org.anvilshed.daemon.settings.Settings
 import org.anvilshed.daemon.steering.LocalVm
+import org.anvilshed.http.withStrictResponses
 import org.anvilshed.wire.peer.Hello
 import org.anvilshed.wire.peer.PeerLink
 import org.anvilshed.wire.peer.PeerLinkHandler
@@ -29,6 +31,8 @@
 import java.util.concurrent.Executors
 import kotlin.random.asKotlinRandom
 
+private val logger = KotlinLogging.logger {}
+
 /** Number of event loops for requests; more than a few do not increase the throughput on entry VMs. */
 private val REQUEST_LOOPS = (Runtime.getRuntime().availableProcessors() / 2).coerceIn(2, 8)
 
@@ -53,12 +57,13 @@
     private val workers = CoroutineScope(SupervisorJob())
     private val callerServer = CallerServer(vertx)
     private val transport = PeerTransport(::hello, this)
+    private val metrics = DaemonMetrics()
     private val platform = VertxPlatformClient(
         vertx,
         settings.platform.url,
         settings.vm.name.value,
         settings.platform.requestTimeout,
-    )
+    ) { recordStrayBytes("platform", settings.platform.url, it) }
     private lateinit var local: LocalVm
     private lateinit var controlPlane: ControlPlane
     private lateinit var dataPlane: DataPlane
@@ -79,7 +84,7 @@
             callerUrl = settings.listen.advertiseCallers ?: "http://${settings.listen.callers.copy(port = callerPort)}",
             peerAddress = (settings.listen.advertisePeers ?: settings.listen.peers.copy(port = peerPort)).toString(),
         )
-        val shared = SharedState(settings, clock, vertx, local, DaemonMetrics())
+        val shared = SharedState(settings, clock, vertx, local, metrics)
         val client = targetClient()
         controlPlane = ControlPlane(shared, platform, transport, client, control, controlThread, random)
         dataPlane = DataPlane(shared, client, controlPlane.network, workers, callerServer.contexts)
@@ -112,8 +117,14 @@
                 .setKeepAliveTimeout(KEEP_ALIVE_SECONDS),
         )
         .with(PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_TARGET).setMaxWaitQueueSize(0))
+        .withStrictResponses { address, bytes -> recordStrayBytes("target", address.toString(), bytes) }
         .build()
 
+    private fun recordStrayBytes(server: String, address: String, bytes: String) {
+        metrics.recordStrayBytes(server)
+        logger.warn { "closed a connection to the $server at $address: it wrote bytes outside a response: $bytes" }
+    }
+
     private fun registerGauges(shared: SharedState) {
         val metrics = shared.metrics
         metrics.gauge("anvilshed_bundle_version", "Version of the bundle in force.") {
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/metrics/DaemonMetrics.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/metrics/DaemonMetrics.kt
@@ -27,6 +27,8 @@
     private val lookups = counter("anvilshed_lookups", "Answered lookups.")
     private val probes = counter("anvilshed_target_probes", "Health probes of targets.")
     private val platformFailures = counter("anvilshed_platform_failures", "Failed calls of the platform.")
+    private val strayBytes =
+        counter("anvilshed_stray_bytes", "Connections closed for bytes outside a response, by server.", "server")
     private val latency = Histogram.builder()
         .name("anvilshed_request_seconds")
         .help("Time from the arrival of a caller's request to its end.")
@@ -65,6 +67,9 @@
 
     fun recordPlatformFailure(): Unit = platformFailures.inc()
 
+    /** Records that a connection was closed because [server] wrote bytes outside a response. */
+    fun recordStrayBytes(server: String): Unit = strayBytes.labelValues(server).inc()
+
     /** Registers a gauge; [value] is called at each scrape. */
     fun gauge(name: String, help: String, value: () -> Double) {
         GaugeWithCallback.builder().name(name).help(help).callback { it.call(value()) }.register(registry)
--- a/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/FakeTarget.kt
+++ b/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/FakeTarget.kt
@@ -1,10 +1,12 @@
 package org.anvilshed.daemon.testbed
 
+import io.netty.buffer.Unpooled
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServer
 import io.vertx.core.http.HttpServerOptions
 import io.vertx.core.http.HttpServerRequest
+import io.vertx.core.http.impl.HttpServerConnection
 import io.vertx.core.json.JsonObject
 import io.vertx.kotlin.coroutines.coAwait
 import java.util.concurrent.ConcurrentHashMap
@@ -15,7 +17,8 @@
  * Target whose answer depends on the path of the request:
  * `/echo` returns the body; `/delay/<ms>` answers after a delay; `/large/<bytes>` returns a [pattern]; `/shed` answers
  * `Not-Run`; `/draining` answers `Not-Run` and `Draining`; `/lose` closes the connection after the request; `/half`
- * closes the connection in the middle of the response; `/redirect` redirects to `/echo`; `/hang` never answers.
+ * closes the connection in the middle of the response; `/redirect` redirects to `/echo`; `/hang` never answers; `/fail` answers 500; `/stutter/<ms>`
+ * answers and then, after a delay, writes the body of the request outside a response.
  */
 internal class FakeTarget(private val vertx: Vertx, val name: String) {
     private lateinit var server: HttpServer
@@ -103,6 +106,15 @@
 
             path == "/hang" -> Unit
 
+            path == "/fail" -> response.setStatusCode(500).end()
+
+            path.startsWith("/stutter/") -> {
+                response.end()
+                val channel = (request.connection() as HttpServerConnection).channelHandlerContext().pipeline()
+                val write = { channel.firstContext().writeAndFlush(Unpooled.wrappedBuffer(body.bytes)) }
+                if (argument == "0") write() else vertx.setTimer(argument.toLong()) { write() }
+            }
+
             else -> response.setStatusCode(404).end()
         }
     }
