--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
@@ -62,7 +62,7 @@
     target = { stored, now ->
         stored.content?.getInteger("port")?.let { port ->
             RegisteredTarget(
-                key = TargetKey(stored.name, 1),
+                key = TargetKey(stored.name, stored.content.getLong("started_at") ?: 1),
                 service = SERVICE,
                 address = SocketAddress("127.0.0.1", port),
                 zone = TEST_ZONE,
@@ -154,9 +154,19 @@
 
     fun config(version: Long) = store.set(StoreKind.CONFIG, "main", JsonObject().put("version", version))
 
-    /** Writes the entry of [target]; of two entries, the one with the higher [sequence] is the newer one. */
-    fun target(name: String, target: ScriptedTarget, draining: Boolean = false, sequence: Long? = null) {
+    /**
+     * Writes the entry of [target], whose process started at [startedAt]; of two entries, the one with the higher
+     * [sequence] is the newer one.
+     */
+    fun target(
+        name: String,
+        target: ScriptedTarget,
+        draining: Boolean = false,
+        sequence: Long? = null,
+        startedAt: Long = 1,
+    ) {
         val content = JsonObject().put("port", target.port).put("draining", draining).put("sequence", sequence)
+            .put("started_at", startedAt)
         store.set(StoreKind.TARGETS, name, content)
     }
 
