--- a/wire/src/test/kotlin/org/anvilshed/wire/platform/PlatformStrayBytesTest.kt
+++ b/wire/src/test/kotlin/org/anvilshed/wire/platform/PlatformStrayBytesTest.kt
@@ -22,7 +22,7 @@
 /** When a platform writes bytes that belong to no response. */
 private enum class StrayTime { WITH_RESPONSE, WHILE_IDLE, AFTER_NEXT_REQUEST }
 
-/** Platform that responds to `GET` with 200 and writes [stray] at [time] in addition; to others it responds with 409. */
+/** Platform that responds to `GET` with 200 and writes [stray] at [time] in addition, and to others with 409. */
 private class StutteringPlatform(private val stray: String, private val time: StrayTime) : AutoCloseable {
     private val server = ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"))
     val url = "http://127.0.0.1:${server.localPort}"
