Tests: wait until the gateway knows all targets of a test

Cause: awaitReady of the testbed waited until the gateway had any listing of targets. The testbed starts the gateway before the test writes its targets, so that listing may be empty; the rest arrives as changes, up to 50 ms later with the store in memory. Requests sent before that are refused with "no-target", as they should be. Fix: awaitReady waits until the gateway knows every target that the test has written and not removed. Bounds and requests of the tests stay.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -165,6 +165,10 @@
     public val isReady: Boolean
         get() = !isLeaving && state.currentOrNull != null && feeds.haveTargetsListing
 
+    /** Names of the targets that this VM knows at present. */
+    internal val targetNames: Set<String>
+        get() = directory.targets.mapTo(HashSet()) { it.key.name }
+
     /** Opens all ports and starts to follow the store. */
     public suspend fun start() {
         socket.open()
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
@@ -135,6 +135,7 @@
         stopTimeout = stopTimeout,
     )
     private val failures = CopyOnWriteArrayList<Throwable>()
+    private val writtenTargets = CopyOnWriteArrayList<String>()
     private val scope = CoroutineScope(
         vertx.dispatcher() + SupervisorJob() + CoroutineExceptionHandler { _, failure -> failures.add(failure) },
     )
@@ -158,10 +159,14 @@
     fun target(name: String, target: ScriptedTarget, draining: Boolean = false, sequence: Long? = null) {
         val content = JsonObject().put("port", target.port).put("draining", draining).put("sequence", sequence)
         store.set(StoreKind.TARGETS, name, content)
+        writtenTargets.add(name)
     }
 
-    /** Waits until the gateway is ready. */
-    fun awaitReady() = await { onEventLoop { gateway.isReady } }
+    /** Waits until the gateway is ready and has received the entries of all targets that are written. */
+    fun awaitReady() = await {
+        val expected = writtenTargets.filter { it in store.names(StoreKind.TARGETS) }
+        onEventLoop { gateway.isReady && gateway.targetNames.containsAll(expected) }
+    }
 
     /** Sends one request on a new connection and reads the response to its end. */
     fun call(
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/InMemoryStore.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/InMemoryStore.kt
@@ -37,6 +37,10 @@
     @Volatile
     var areWatchesStalled = false
 
+    /** Time by which watches return each change later than it was made. */
+    @Volatile
+    var changeDelay = Duration.ZERO
+
     /** Number of times that connections were renewed. */
     @Volatile
     var renewals = 0
@@ -153,6 +157,7 @@
             }
         }
         if (areWatchesStalled) delay(wait)
+        delay(changeDelay)
         if (isDown) return StoreResult.Refused(503)
         if (isForgotten(revision.number)) return StoreResult.HistoryGone
         return synchronized(lock) {
