--- a/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
+++ b/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
@@ -26,10 +26,10 @@
 /**
  * Codec of a client's HTTP/1.1 connection on which each byte belongs to the response of exactly one request.
  *
- * Bytes other than line ends that are received while no response is due make the connection unusable: nothing is written
- * on it any more, and it is closed once the last response is delivered. Without that, they would wait in the decoder and become the
- * beginning of the next response. A head that contains parts of two responses is invalid, since such bytes may also
- * arrive after the next request was sent.
+ * Bytes other than line ends that are received while no response is due make the connection unusable: nothing is
+ * written on it any more, and it is closed once the last response is delivered. Without that, they would wait in the
+ * decoder and become the beginning of the next response. A head that contains parts of two responses is invalid, since
+ * such bytes may also arrive after the next request was sent.
  *
  * Interim responses (1xx) are dropped. Confined to the event loop of the connection.
  *
@@ -114,7 +114,7 @@
             return super.createMessage(initialLine)
         }
 
-        /** A name that is followed by anything but a colon may be the rest of a line into which another one was merged. */
+        /** A name that is followed by anything but a colon may be the rest of two merged lines. */
         override fun splitHeaderName(line: ByteArray, start: Int, length: Int): AsciiString {
             require(line.getOrNull(start + length) == ':'.code.toByte()) { "no colon behind the name of a field" }
             return super.splitHeaderName(line, start, length)
