Leaving targets: the test waits until the feed reads the news at once

It failed once in four runs (6 sends expected, 10 seen; load average 26): by reading, the feed pauses for 250 ms after the entry of the target, and the test gave the news 200 ms. The bound on sends after the news is unchanged.

--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayLeavingTargetTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayLeavingTargetTest.kt
@@ -156,6 +156,8 @@
                     testbed.config(1)
                     testbed.target("target", busy)
                     testbed.awaitReady()
+                    // The feed pauses after the entry above, and would learn of the next one late.
+                    Thread.sleep(400)
                     val calls = (listOf("first") + List(9) { "id-$it" }).map { id ->
                         CompletableFuture.supplyAsync({ testbed.call("/safe/", id).status }, ::startThread)
                     }
