Forwarding: send no request whose time limit has passed

The target gets such a request with a deadline of 1 ms, and the caller an unspecific 504. Cause: the time limit is a timer, and a busy event loop handles its sockets before its timers. A connection that opens during the delay resumes the request first. Nothing compared the clock with the deadline before the send. Fix: the deadline is checked before a target is chosen and again immediately before the send.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
@@ -168,6 +168,7 @@
     private fun unsentReplyOrNull(queue: ServiceQueue, request: ForwardedRequest, lastFailure: Reply?): Reply? = when {
         isSuspended(request) -> crashesTargets()
         !endsBeforeStop(queue, request) -> lastFailure ?: Reply.leaving()
+        hasExpired(request) -> lastFailure ?: notRun("no-slot-in-time")
         else -> null
     }
 
@@ -177,6 +178,9 @@
         return stop.allowsSend(request.placement.deadline, longestTime, clock())
     }
 
+    /** The timer of the time limit may fire late: a busy event loop reads sockets before it runs its timers. */
+    private fun hasExpired(request: ForwardedRequest): Boolean = clock() >= request.placement.deadline
+
     private fun exclude(request: ForwardedRequest, send: Placement.Send) {
         request.placement = request.placement.copy(excluded = request.placement.excluded + send.target.key)
     }
@@ -217,8 +221,9 @@
                 log.request("target-unreachable", "id" to request.target.id, "target" to send.target.key.name)
                 return AttemptResult.NotSent
             }
-            // The target may have been withdrawn, or this VM may have begun to stop, while the connection was opened.
-            if (!queue.pool.mayReceive(send.target, clock()) || !endsBeforeStop(queue, request)) {
+            // All of this may have changed while the connection was opened.
+            val isWorthSending = endsBeforeStop(queue, request) && !hasExpired(request)
+            if (!isWorthSending || !queue.pool.mayReceive(send.target, clock())) {
                 connections.release(send.target.key, connection)
                 return AttemptResult.NotSent
             }
