--- a/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/FakeTarget.kt
+++ b/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/FakeTarget.kt
@@ -17,8 +17,8 @@
  * Target whose answer depends on the path of the request:
  * `/echo` returns the body; `/delay/<ms>` answers after a delay; `/large/<bytes>` returns a [pattern]; `/shed` answers
  * `Not-Run`; `/draining` answers `Not-Run` and `Draining`; `/lose` closes the connection after the request; `/half`
- * closes the connection in the middle of the response; `/redirect` redirects to `/echo`; `/hang` never answers; `/fail` answers 500; `/stutter/<ms>`
- * answers and then, after a delay, writes the body of the request outside a response.
+ * closes the connection in the middle of the response; `/redirect` redirects to `/echo`; `/hang` never answers; `/fail`
+ * answers 500; `/stutter/<ms>` answers and then, after a delay, writes the body of the request outside a response.
  */
 internal class FakeTarget(private val vertx: Vertx, val name: String) {
     private lateinit var server: HttpServer
@@ -64,8 +64,24 @@
         // Vert.x calls the end handler also when the connection is closed.
         request.response().endHandler { running.decrementAndGet() }
         request.response().closeHandler { if (!request.response().ended()) cancelled.incrementAndGet() }
-        val isAnsweredAtOnce = request.path() == "/half"
-        if (isAnsweredAtOnce) answer(request, Buffer.buffer()) else request.body().onSuccess { answer(request, it) }
+        if (request.path() == "/half") return answer(request, Buffer.buffer())
+        request.body().onSuccess { if (!stutter(request, it)) answer(request, it) }
+    }
+
+    /** Responds to `/fail` and `/stutter`; returns `false` for other paths. */
+    private fun stutter(request: HttpServerRequest, body: Buffer): Boolean {
+        val path = request.path().orEmpty()
+        if (path == "/fail") {
+            request.response().setStatusCode(500).end()
+            return true
+        }
+        if (!path.startsWith("/stutter/")) return false
+        request.response().end()
+        val channel = (request.connection() as HttpServerConnection).channelHandlerContext().pipeline()
+        val write = { channel.firstContext().writeAndFlush(Unpooled.wrappedBuffer(body.bytes)) }
+        val delay = path.substringAfterLast('/').toLong()
+        if (delay == 0L) write() else vertx.setTimer(delay) { write() }
+        return true
     }
 
     private fun shed(request: HttpServerRequest) {
@@ -106,15 +122,6 @@
 
             path == "/hang" -> Unit
 
-            path == "/fail" -> response.setStatusCode(500).end()
-
-            path.startsWith("/stutter/") -> {
-                response.end()
-                val channel = (request.connection() as HttpServerConnection).channelHandlerContext().pipeline()
-                val write = { channel.firstContext().writeAndFlush(Unpooled.wrappedBuffer(body.bytes)) }
-                if (argument == "0") write() else vertx.setTimer(argument.toLong()) { write() }
-            }
-
             else -> response.setStatusCode(404).end()
         }
     }
