--- a/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerRequestDecoder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerRequestDecoder.kt
@@ -27,9 +27,6 @@
         private set
     private lateinit var context: ChannelHandlerContext
 
-    /** Whether bytes of the present head were consumed in an earlier call. */
-    private var isHeadBegun = false
-
     /** Sample of the line that made the latest head invalid; `null` if none was. */
     var refusedLine: String? = null
         private set
@@ -59,19 +56,18 @@
     override fun decode(context: ChannelHandlerContext, input: ByteBuf, output: MutableList<Any>) {
         if (isPaused && isBetweenRequests) return
         val start = input.readerIndex()
-        val startsRequest = !isHeadBegun
-        if (isBetweenRequests && !isHeadBegun) isHeadBegun = hasHeadByte(input)
+        val startsRequest = incompleteSince == null
+        val beginsHead = isBetweenRequests && startsRequest && hasHeadByte(input)
         super.decode(context, input, output)
         for (message in output) {
             if (message is HttpMessage) {
                 if (message.decoderResult().isFailure) refusedLine = readRefusedLine(input, start, startsRequest)
                 isBetweenRequests = false
-                isHeadBegun = false
                 incompleteSince = null
             }
             if (message is LastHttpContent) isBetweenRequests = true
         }
-        if (isHeadBegun && incompleteSince == null) incompleteSince = clock()
+        if (beginsHead && output.isEmpty()) incompleteSince = clock()
     }
 
     /** Empty lines in front of a request (RFC 9112, section 2.2) do not begin its head. */
