--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
@@ -104,6 +104,12 @@
         val route: IngressRoute? = active?.routes?.findOrNull(request.header("Host").orEmpty(), request.path)
         val responseMemory = responseMemoryBudget.newReservation()
 
+        /** Time limit as the caller stated it; `null` if it stated none. */
+        val statedTimeLimit: String? = request.header(headerNames.deadlineMillis)
+
+        /** The stated time limit; `null` if it is unreadable, or none was stated. */
+        val timeLimit: Duration? = statedTimeLimit?.let(::parseTimeLimitOrNull)
+
         /** What was refused of a request that gets a 4xx status of this VM, for the log. */
         var refused: String? = null
         var forwarded: ForwardedRequest? = null
@@ -139,7 +145,7 @@
         val active = exchange.active ?: return Reply.NotRun(SERVICE_UNAVAILABLE, "no-config", DEFAULT_RETRY_AFTER)
         val route = exchange.route ?: return noRoute(exchange)
         headErrorOrNull(exchange, active)?.let { return it }
-        val callerLimit = exchange.request.header(headerNames.deadlineMillis)?.let(::parseTimeLimitOrNull)
+        val callerLimit = exchange.timeLimit
         val timeout = minOf(callerLimit ?: route.timeout, route.timeout)
         val body = withTimeoutOrNull(timeout) { exchange.request.body.await() }
         if (body !is BodyResult.Read) return bodyError(exchange, body)
@@ -169,8 +175,6 @@
     }
 
     private fun headErrorOrNull(exchange: CallerExchange, active: ActiveConfig): Reply? {
-        val deadline: String? = exchange.request.header(headerNames.deadlineMillis)
-        val isDeadlineValid = deadline == null || parseTimeLimitOrNull(deadline) != null
         val headers = exchange.request.headers
         return when {
             exchange.id == null -> {
@@ -187,8 +191,8 @@
                 Reply.Failed(HEADERS_TOO_LARGE, "headers-too-large")
             }
 
-            !isDeadlineValid -> {
-                exchange.refused = RefusedText.sample(deadline.orEmpty())
+            exchange.statedTimeLimit != null && exchange.timeLimit == null -> {
+                exchange.refused = RefusedText.sample(exchange.statedTimeLimit)
                 Reply.Failed(BAD_REQUEST, "bad-deadline")
             }
 
