--- a/gateway/src/main/kotlin/org/anvilshed/gateway/callers/RefusedText.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/callers/RefusedText.kt
@@ -1,13 +1,12 @@
 package org.anvilshed.gateway.callers
 
+import org.anvilshed.http.printable
+
 /**
  * Samples of what callers sent, for the log: short, printable, and without the values of headers that hold secrets.
  */
 internal object RefusedText {
     private const val MAXIMUM_LENGTH = 120
-    private const val FIRST_PRINTABLE = 0x20
-    private const val LAST_PRINTABLE = 0x7e
-    private const val BYTE_MASK = 0xff
     private val REQUEST_LINE = Regex("""[!-~]+ [!-~]+ HTTP/\d\.\d""")
     private val FIELD_LINE = Regex("""[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t -~\x80-\xff]*""")
     private val FRAMING = Regex("""(content-length|transfer-encoding)\s*:.*""", RegexOption.IGNORE_CASE)
@@ -20,8 +19,7 @@
                 append("...")
                 return@buildString
             }
-            val isPrintable = char.code in FIRST_PRINTABLE..LAST_PRINTABLE
-            if (isPrintable) append(char) else append("\\x%02x".format(char.code and BYTE_MASK))
+            append(printable(char))
         }
     }
 
--- a/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
+++ b/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
@@ -1,7 +1,6 @@
 package org.anvilshed.http
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.ByteBufUtil
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelPromise
 import io.netty.channel.CombinedChannelDuplexHandler
@@ -102,8 +101,8 @@
             if (first < 0) return
             isClean = false
             val sampleLength = minOf(input.readableBytes(), SAMPLE_BYTES)
-            val sample = ByteBufUtil.getBytes(input, input.readerIndex(), sampleLength)
-            val text = sample.joinToString("", transform = ::printable)
+            val sample = input.toString(input.readerIndex(), sampleLength, Charsets.ISO_8859_1)
+            val text = sample.map(::printable).joinToString("")
             strayBytes = text
             onStrayBytes(text)
         }
@@ -131,12 +130,8 @@
         }
     }
 
-    private fun printable(byte: Byte): String =
-        if (byte in PRINTABLE) byte.toInt().toChar().toString() else "\\x%02x".format(byte)
-
     private companion object {
         /** Enough to recognise the beginning of a response. */
         const val SAMPLE_BYTES = 48
-        val PRINTABLE = ' '.code..'~'.code
     }
 }
