Targets: drop the header limit of a codec that is replaced

StrictClientCodec has the limit; the codec of Vert.x is replaced before a request is written, so its option had no effect. No change of behaviour.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -46,7 +46,6 @@
 import org.anvilshed.gateway.requests.fingerprintText
 import org.anvilshed.gateway.store.ObjectStore
 import org.anvilshed.gateway.store.StoreProbe
-import org.anvilshed.gateway.targets.TargetConnection
 import org.anvilshed.gateway.targets.TargetConnectionPool
 import kotlin.math.roundToInt
 import kotlin.time.Duration.Companion.milliseconds
@@ -105,7 +104,7 @@
     private val connections = TargetConnectionPool(
         vertx.createHttpClient(
             HttpClientOptions().setKeepAlive(true).setPipelining(false).setDecompressionSupported(false)
-                .setMaxHeaderSize(TargetConnection.MAXIMUM_HEADER_BYTES).setTcpNoDelay(true),
+                .setTcpNoDelay(true),
             PoolOptions().setHttp1MaxSize(1),
         ),
         log,
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
@@ -79,7 +79,7 @@
         private const val REQUEST_ID_LIMIT = 32
 
         /** Longest header section of a response. */
-        const val MAXIMUM_HEADER_BYTES = 65_536
+        private const val MAXIMUM_HEADER_BYTES = 65_536
     }
 }
 
