--- a/review/standins-2/Upstream.java
+++ b/review/standins-2/Upstream.java
@@ -95,7 +95,7 @@
         store.put("servers", id, spec());
     }
 
-    private String spec() {
+    String spec() {
         return "{\"service\":\"" + service + "\",\"address\":\"" + address() + "\",\"zone\":\"" + zone
             + "\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"" + state
             + "\",\"cold_remaining\":\"0ms\",\"seq\":" + (++sequence) + ",\"born\":" + born + "}";
