A close-delimited response needs the orderly end of its stream

What callers saw: a target answered a long upload at once with 200 and no length, wrote a part of the body and reset the connection while the upload was being written.

Cause: a response without a length or chunks ends with its connection, and Netty's decoder emits that end whenever the channel becomes inactive. A failed write of the request closes the channel before any read reports the reset, and a close by this side (cancelled exchange, time limit) looks the same. TargetExchange, HttpCall, the daemon and the platform client all take the decoder's end for the end of the body.

Fix: StrictClientCodec allows half closure, by which Netty reports the end of the stream as an event of its own, also after a failed read. Only if that event came without a failed read before it does the decoder get to end a response; the codec then closes the channel, as Netty did. All clients of the product have this codec, so that the same end is missing for each of them, and Vert.x fails the response with the close.

Already handled, tests kept: a reset without unsent bytes of a request; an orderly end before the upload was read; a response with a length or chunks that is whole before a reset; the connection of a broken response is not used again.

--- /dev/null
+++ b/daemon/src/test/kotlin/org/anvilshed/daemon/CloseDelimitedAnswerTest.kt
@@ -0,0 +1,68 @@
+package org.anvilshed.daemon
+
+import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.vertx.core.buffer.Buffer
+import io.vertx.core.http.HttpClosedException
+import io.vertx.core.http.HttpMethod
+import io.vertx.ext.web.client.HttpResponse
+import io.vertx.kotlin.coroutines.coAwait
+import org.anvilshed.daemon.testbed.TEST_TIMEOUT
+import org.anvilshed.daemon.testbed.TIMEOUT
+import org.anvilshed.daemon.testbed.TestZone
+import org.anvilshed.daemon.testbed.Testbed
+
+private val zone = TestZone("nbo-a", "nbo")
+
+/** More than the buffers of a connection hold, so that a part of it is unsent while the target does not read. */
+private val UPLOAD = Buffer.buffer(ByteArray(16_000_000))
+
+/** Guards against the beginning of an answer that callers take for the whole, as only its connection shows its end. */
+class CloseDelimitedAnswerTest :
+    FunSpec({
+        timeout = TEST_TIMEOUT.inWholeMilliseconds
+
+        val testbed = Testbed(listOf(zone))
+        lateinit var daemon: Daemon
+
+        beforeSpec {
+            testbed.start()
+            daemon = testbed.startDaemon("nbo-a-vm-1", zone)
+            testbed.awaitReady()
+        }
+        afterSpec { testbed.stop() }
+
+        suspend fun pay(path: String, identifier: String): HttpResponse<Buffer> =
+            testbed.request(daemon, HttpMethod.POST, path, "pay")
+                .putHeader("Anvilshed-Request-Id", identifier)
+                .sendBuffer(UPLOAD).coAwait()
+
+        // More requests than the target has slots.
+        test("an answer that is reset during the upload of a payout is unknown, and the payout is not sent again") {
+            repeat(5) { number ->
+                val identifier = "${testbed.token(daemon, "nbo-a-vm-1")}.early-reset-$number"
+                pay("/early-reset", identifier).getHeader("Anvilshed-Outcome") shouldBe "unknown"
+                pay("/early-reset", identifier).getHeader("Anvilshed-Outcome") shouldBe "unknown"
+                testbed.target("nbo-a").arrivals[identifier] shouldBe 1
+            }
+            eventually(TIMEOUT) { testbed.status(daemon).getInteger("requests_in_flight") shouldBe 0 }
+        }
+
+        test("an answer that is reset during the upload of a read is incomplete") {
+            repeat(5) {
+                shouldThrow<HttpClosedException> {
+                    testbed.request(daemon, HttpMethod.POST, "/early-reset", "read").sendBuffer(UPLOAD).coAwait()
+                }
+            }
+            eventually(TIMEOUT) { testbed.status(daemon).getInteger("requests_in_flight") shouldBe 0 }
+        }
+
+        test("an answer that ends orderly before the upload was read is passed on") {
+            repeat(5) { number ->
+                val identifier = "${testbed.token(daemon, "nbo-a-vm-1")}.early-end-$number"
+                pay("/early-end", identifier).bodyAsString() shouldBe "early"
+            }
+        }
+    })
--- a/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/FakeTarget.kt
+++ b/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/FakeTarget.kt
@@ -1,6 +1,8 @@
 package org.anvilshed.daemon.testbed
 
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.DuplexChannel
 import io.vertx.core.Vertx
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServer
@@ -18,7 +20,9 @@
  * `/echo` returns the body; `/delay/<ms>` answers after a delay; `/large/<bytes>` returns a [pattern]; `/shed` answers
  * `Not-Run`; `/draining` answers `Not-Run` and `Draining`; `/lose` closes the connection after the request; `/half`
  * closes the connection in the middle of the response; `/redirect` redirects to `/echo`; `/hang` never answers; `/fail`
- * answers 500; `/stutter/<ms>` answers and then, after a delay, writes the body of the request outside a response.
+ * answers 500; `/stutter/<ms>` answers and then, after a delay, writes the body of the request outside a response;
+ * `/early-end` and `/early-reset` answer without a length before they read the request, and then close their side of
+ * the connection or reset it.
  */
 internal class FakeTarget(private val vertx: Vertx, val name: String) {
     private lateinit var server: HttpServer
@@ -65,9 +69,25 @@
         request.response().endHandler { running.decrementAndGet() }
         request.response().closeHandler { if (!request.response().ended()) cancelled.incrementAndGet() }
         if (request.path() == "/half") return answer(request, Buffer.buffer())
+        if (request.path().orEmpty().startsWith("/early-")) return answerEarly(request)
         request.body().onSuccess { if (!stutter(request, it)) answer(request, it) }
     }
 
+    private fun answerEarly(request: HttpServerRequest) {
+        request.pause()
+        val channel = (request.connection() as HttpServerConnection).channelHandlerContext().channel()
+        val answer = Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nTarget: $name\r\n\r\nearly", Charsets.US_ASCII)
+        channel.pipeline().firstContext().writeAndFlush(answer)
+        if (request.path() == "/early-end") {
+            (channel as DuplexChannel).shutdownOutput()
+            return
+        }
+        vertx.setTimer(EARLY_RESET_MILLIS) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0)
+            channel.close()
+        }
+    }
+
     /** Responds to `/fail` and `/stutter`; returns `false` for other paths. */
     private fun stutter(request: HttpServerRequest, body: Buffer): Boolean {
         val path = request.path().orEmpty()
@@ -127,5 +147,8 @@
     }
 }
 
+/** Leaves the daemon time to read the answer, and to find that it can't send more of the request. */
+private const val EARLY_RESET_MILLIS = 200L
+
 /** Returns [size] bytes that are the same in every process. */
 internal fun pattern(size: Int): ByteArray = Random(size).nextBytes(size)
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
@@ -44,6 +44,7 @@
 
 val TEST_ZONE = ZoneName("zone-a")
 private val SERVICE = ServiceName("service")
+private const val MAXIMUM_BODY_BYTES = 65_536L
 
 private val HEADER_NAMES = RequestHeaderNames(
     requestId = "X-Id",
@@ -58,7 +59,11 @@
 )
 
 private val DECODERS = StoreDecoders(
-    config = { stored -> stored.content?.getLong("version")?.let(::testConfig) },
+    config = { stored ->
+        stored.content?.getLong("version")?.let {
+            testConfig(it, stored.content.getLong("maximum_body_bytes", MAXIMUM_BODY_BYTES))
+        }
+    },
     target = { stored, now ->
         stored.content?.getInteger("port")?.let { port ->
             RegisteredTarget(
@@ -80,7 +85,7 @@
 )
 
 /** Config with an idempotent route `/safe/` and a non-idempotent route `/once/`; version 2 adds the route `/new/`. */
-private fun testConfig(version: Long): IngressConfig {
+private fun testConfig(version: Long, maximumBodyBytes: Long): IngressConfig {
     fun route(name: String, idempotent: Boolean) = IngressRoute(
         name = name,
         host = "test.example",
@@ -95,7 +100,7 @@
         homeRegions = emptySet(),
     )
     val routes = listOf(route("safe", true), route("once", false)) + listOf(route("new", true)).filter { version >= 2 }
-    val limits = CallerLimits(16_384, 65_536, 500.milliseconds, 3.seconds)
+    val limits = CallerLimits(16_384, maximumBodyBytes, 500.milliseconds, 3.seconds)
     return IngressConfig(version, routes, mapOf(SERVICE to ServicePolicy(100, 1.seconds, 10.0)), limits)
 }
 
@@ -153,7 +158,10 @@
         scope.launch { block() }
     }
 
-    fun config(version: Long) = store.set(StoreKind.CONFIG, "main", JsonObject().put("version", version))
+    fun config(version: Long, maximumBodyBytes: Long = MAXIMUM_BODY_BYTES) {
+        val content = JsonObject().put("version", version).put("maximum_body_bytes", maximumBodyBytes)
+        store.set(StoreKind.CONFIG, "main", content)
+    }
 
     /**
      * Writes the entry of [target], whose process started at [startedAt]; of two entries, the one with the higher
@@ -185,10 +193,11 @@
         method: String = "GET",
         body: String? = null,
         deadline: Int = 2_000,
+        extra: String = "",
     ): CallerResponse {
-        val length = body?.let { "Content-Length: ${it.length}\r\n" }.orEmpty()
+        val fields = extra + body?.let { "Content-Length: ${it.length}\r\n" }.orEmpty()
         return raw(
-            "$method $path HTTP/1.1\r\nHost: test.example\r\nX-Id: $id\r\nX-Deadline: $deadline\r\n$length\r\n" +
+            "$method $path HTTP/1.1\r\nHost: test.example\r\nX-Id: $id\r\nX-Deadline: $deadline\r\n$fields\r\n" +
                 body.orEmpty(),
         )
     }
@@ -265,11 +274,12 @@
 /** Runs [test] with a gateway and one target for each of [responses], which writes the responses of that target. */
 fun withTargets(
     vararg responses: (ReceivedRequest, Socket) -> Unit,
+    maximumBodyBytes: Long = MAXIMUM_BODY_BYTES,
     test: (GatewayTestbed, List<ScriptedTarget>) -> Unit,
 ) {
     val targets = responses.map(::ScriptedTarget)
     GatewayTestbed().use { testbed ->
-        testbed.config(1)
+        testbed.config(1, maximumBodyBytes)
         targets.forEachIndexed { index, target -> testbed.target("target-$index", target) }
         testbed.awaitReady()
         test(testbed, targets)
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/ScriptedTarget.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/ScriptedTarget.kt
@@ -13,7 +13,10 @@
         get() = headers.getValue("x-id")
 }
 
-/** Target whose responses a test writes byte by byte; [respond] runs on a thread of the connection. */
+/**
+ * Target whose responses a test writes byte by byte; [respond] runs on a thread of the connection, after the body of the
+ * request was read. With a field `X-Early` in the request, it runs before that and is passed an empty body.
+ */
 class ScriptedTarget(private val respond: (ReceivedRequest, Socket) -> Unit) : AutoCloseable {
     private val server = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
 
@@ -40,7 +43,8 @@
             val headers = lines.drop(1).associate {
                 it.substringBefore(':').lowercase() to it.substringAfter(':').trim()
             }
-            val body = String(input.readNBytes(headers["content-length"]?.toInt() ?: 0))
+            val length = if ("x-early" in headers) 0 else headers["content-length"]?.toInt() ?: 0
+            val body = String(input.readNBytes(length))
             val request = ReceivedRequest(lines.first(), headers, body)
             received.add(request)
             respond(request, socket)
--- a/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
+++ b/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
@@ -2,8 +2,10 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
 import io.netty.channel.ChannelPromise
 import io.netty.channel.CombinedChannelDuplexHandler
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMessage
@@ -30,6 +32,9 @@
  * decoder and become the beginning of the next response. A head that contains parts of two responses is invalid, since
  * such bytes may also arrive after the next request was sent.
  *
+ * A response without a length or chunks is complete only if the server has closed its side of the connection in an
+ * orderly way. It stays without an end if the connection is reset, a write fails, or this side closes the connection.
+ *
  * Interim responses (1xx) are dropped. Confined to the event loop of the connection.
  *
  * @param maximumHeaderBytes longest header section of a response.
@@ -48,6 +53,12 @@
     public var isClean: Boolean = true
         private set
 
+    /** Whether reading or writing has failed. */
+    private var hasFailed = false
+
+    /** Whether the server has closed its side of the connection in an orderly way. */
+    private var isEndOfStreamRead = false
+
     init {
         this.init(ResponseDecoder(maximumHeaderBytes), HttpRequestEncoder())
     }
@@ -57,6 +68,24 @@
         isClean = false
     }
 
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        // Without this, nothing but the close of the channel would show the end of the stream, as it shows any failure.
+        context.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+        super.handlerAdded(context)
+    }
+
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        if (cause is IOException) hasFailed = true
+        super.exceptionCaught(context, cause)
+    }
+
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        // Also triggered after a failed read.
+        if (event is ChannelInputShutdownEvent) isEndOfStreamRead = !hasFailed
+        super.userEventTriggered(context, event)
+        if (event is ChannelInputShutdownEvent) context.close()
+    }
+
     override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
         if (!isClean) {
             ReferenceCountUtil.release(message)
@@ -86,6 +115,13 @@
             if (isClean && unanswered.isEmpty()) rejectStrayBytes(input)
         }
 
+        /** Called for the end of the stream and when the channel has closed. */
+        override fun decodeLast(context: ChannelHandlerContext, input: ByteBuf, output: MutableList<Any>) {
+            if (!isEndOfStreamRead) return
+            super.decodeLast(context, input, output)
+            output.forEach(::observe)
+        }
+
         private fun observe(message: Any) {
             if (message is HttpResponse) {
                 isInterim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
--- a/http/src/test/kotlin/org/anvilshed/http/StrictClientCodecTest.kt
+++ b/http/src/test/kotlin/org/anvilshed/http/StrictClientCodecTest.kt
@@ -1,5 +1,6 @@
 package org.anvilshed.http
 
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
@@ -8,6 +9,7 @@
 import io.kotest.matchers.string.shouldStartWith
 import io.netty.buffer.Unpooled
 import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMethod
@@ -15,6 +17,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.io.IOException
 import kotlin.random.Random
 
 private const val MAXIMUM_HEADER_BYTES = 8_192
@@ -49,6 +52,25 @@
         collect()
     }
 
+    /** The server closes its side of the connection in an orderly way. */
+    fun receiveEndOfStream() {
+        channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE)
+        collect()
+    }
+
+    /** Reading fails, after which the channel reports the end of its input as well. */
+    fun receiveReset() {
+        channel.pipeline().fireExceptionCaught(IOException("Connection reset"))
+        shouldThrow<IOException> { channel.checkException() }
+        receiveEndOfStream()
+    }
+
+    /** The channel closes without an end of the stream, as after a failed write. */
+    fun close() {
+        channel.close()
+        collect()
+    }
+
     private fun collect() {
         while (true) {
             val message = channel.readInbound<Any>() ?: return
@@ -152,6 +174,44 @@
             }
         }
 
+        // Guards against the beginning of a response that is taken for the whole.
+        test("a response without a length or chunks ends with the end of the stream, and with nothing else") {
+            val head = "HTTP/1.1 200 OK\r\nServer: x\r\n"
+            val ends = mapOf<String, (Connection) -> Unit>(
+                "end" to Connection::receiveEndOfStream,
+                "reset" to Connection::receiveReset,
+                "close" to Connection::close,
+            )
+            for (fields in listOf("", "Transfer-Encoding: gzip\r\n", "Connection: close\r\n")) {
+                for ((what, end) in ends) {
+                    val connection = Connection()
+                    connection.send()
+                    connection.receive("$head$fields\r\nbody")
+                    connection.responses.shouldBeEmpty()
+                    end(connection)
+                    withClue("$fields$what") {
+                        connection.responses.toList() shouldBe listOf("200 body").filter { what == "end" }
+                        connection.isOpen shouldBe false
+                        connection.send() shouldBe false
+                    }
+                }
+            }
+        }
+
+        test("a response with a length or chunks that the end of the stream cuts short is incomplete") {
+            for (framing in listOf(
+                "Content-Length: 5\r\n\r\nbody",
+                "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+            )) {
+                val connection = Connection()
+                connection.send()
+                connection.receive("HTTP/1.1 200 OK\r\n$framing")
+                connection.receiveEndOfStream()
+                connection.responses.shouldBeEmpty()
+                connection.isOpen shouldBe false
+            }
+        }
+
         // Guards against a status that belongs to no response, wherever the bytes of an earlier response end.
         test("no response has the status of bytes outside a response, whenever these arrive") {
             val random = Random(37)
--- a/wire/src/test/kotlin/org/anvilshed/wire/platform/VertxPlatformClientTest.kt
+++ b/wire/src/test/kotlin/org/anvilshed/wire/platform/VertxPlatformClientTest.kt
@@ -3,8 +3,11 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelOption
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpServerRequest
+import io.vertx.core.http.impl.HttpServerConnection
 import io.vertx.kotlin.coroutines.coAwait
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration
@@ -127,4 +130,25 @@
             respond = status(200, body = "{")
             client().list("seats/").shouldBeInstanceOf<PlatformResult.Unavailable>()
         }
+
+        // Guards against a write that is taken for done because of the beginning of an answer.
+        test("a write is uncertain when its answer has no length and is reset during the call") {
+            val upload = ByteArray(8 * 1024 * 1024)
+            respond = { request ->
+                request.pause()
+                val channel = (request.connection() as HttpServerConnection).channelHandlerContext().channel()
+                val head = Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nObject-Version: 7\r\n\r\n", Charsets.US_ASCII)
+                channel.pipeline().firstContext().writeAndFlush(head)
+                vertx.setTimer(200) {
+                    channel.config().setOption(ChannelOption.SO_LINGER, 0)
+                    channel.close()
+                }
+            }
+            client().use { client ->
+                repeat(8) {
+                    client.put("a", upload, expectedVersion = 1)
+                        .shouldBeInstanceOf<PlatformResult.OutcomeUncertain>()
+                }
+            }
+        }
     })
