--- a/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/FakeTarget.kt
+++ b/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/FakeTarget.kt
@@ -22,7 +22,7 @@
  * closes the connection in the middle of the response; `/redirect` redirects to `/echo`; `/hang` never answers; `/fail`
  * answers 500; `/stutter/<ms>` answers and then, after a delay, writes the body of the request outside a response;
  * `/early-end` and `/early-reset` answer without a length before they read the request, and then close their side of
- * the connection or reset it.
+ * the connection or reset it; `/raw` writes the body of the request instead of an answer.
  */
 internal class FakeTarget(private val vertx: Vertx, val name: String) {
     private lateinit var server: HttpServer
@@ -42,6 +42,13 @@
     @Volatile
     var healthState = "ready"
 
+    /** Bytes that are written instead of answers to `/health`; `null` for sound answers. */
+    @Volatile
+    var rawHealth: String? = null
+
+    /** Number of answers to `/health`. */
+    val probes = AtomicInteger()
+
     /** Whether the next request that is not `/health` is shed. */
     @Volatile
     var shedNext = false
@@ -59,6 +66,8 @@
 
     private fun accept(request: HttpServerRequest) {
         if (request.path() == "/health") {
+            probes.incrementAndGet()
+            rawHealth?.let { return writeRaw(request, Buffer.buffer(it, "ISO-8859-1")) }
             val health = JsonObject().put("state", healthState).put("slots", 4).put("in_flight", running.get())
             request.response().end(health.put("queued", 0).put("age_ms", 0).toBuffer())
             return
@@ -70,7 +79,17 @@
         request.response().closeHandler { if (!request.response().ended()) cancelled.incrementAndGet() }
         if (request.path() == "/half") return answer(request, Buffer.buffer())
         if (request.path().orEmpty().startsWith("/early-")) return answerEarly(request)
-        request.body().onSuccess { if (!stutter(request, it)) answer(request, it) }
+        request.body().onSuccess {
+            when {
+                request.path() == "/raw" -> writeRaw(request, it)
+                !stutter(request, it) -> answer(request, it)
+            }
+        }
+    }
+
+    private fun writeRaw(request: HttpServerRequest, bytes: Buffer) {
+        val channel = (request.connection() as HttpServerConnection).channelHandlerContext().pipeline()
+        channel.firstContext().writeAndFlush(Unpooled.wrappedBuffer(bytes.bytes))
     }
 
     private fun answerEarly(request: HttpServerRequest) {
@@ -97,10 +116,8 @@
         }
         if (!path.startsWith("/stutter/")) return false
         request.response().end()
-        val channel = (request.connection() as HttpServerConnection).channelHandlerContext().pipeline()
-        val write = { channel.firstContext().writeAndFlush(Unpooled.wrappedBuffer(body.bytes)) }
         val delay = path.substringAfterLast('/').toLong()
-        if (delay == 0L) write() else vertx.setTimer(delay) { write() }
+        if (delay == 0L) writeRaw(request, body) else vertx.setTimer(delay) { writeRaw(request, body) }
         return true
     }
 
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/peers/PeerSnapshotsTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/peers/PeerSnapshotsTest.kt
@@ -1,5 +1,6 @@
 package org.anvilshed.gateway.peers
 
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.vertx.core.Vertx
@@ -38,14 +39,40 @@
             }
         }
 
+        val ok = "HTTP/1.1 200 OK\r\nServer: x\r\n"
+        val framed = "Content-Length: ${COPY.length}\r\n\r\n$COPY"
+        val invalidResponses = listOf("HHTTP/1.1 200 OK\r\n\r\n") +
+            listOf("000", "099", "600", "20", "2000", "abc").map { "HTTP/1.1 $it OK\r\n$framed" }
         test("a response that is not valid HTTP is no copy, and does not throw") {
-            ScriptedTarget { _, socket -> ScriptedTarget.write(socket, "HHTTP/1.1 200 OK\r\n\r\n") }.use { peer ->
-                val vertx = Vertx.vertx()
-                val snapshots = PeerSnapshots(vertx, emptyMap())
-                runBlocking(vertx.dispatcher()) {
-                    snapshots.fetchOrNull(SocketAddress("127.0.0.1", peer.port), StoreKind.TARGETS) shouldBe null
+            for (response in invalidResponses) {
+                ScriptedTarget { _, socket -> ScriptedTarget.write(socket, response) }.use { peer ->
+                    val vertx = Vertx.vertx()
+                    val snapshots = PeerSnapshots(vertx, emptyMap())
+                    val address = SocketAddress("127.0.0.1", peer.port)
+                    runBlocking(vertx.dispatcher()) {
+                        withClue(response) { snapshots.fetchOrNull(address, StoreKind.TARGETS) shouldBe null }
+                    }
+                    vertx.close()
+                }
+            }
+        }
+
+        test("a response without a length is a copy if it ends orderly, not if it is reset") {
+            for (isReset in listOf(false, true)) {
+                ScriptedTarget { _, socket ->
+                    ScriptedTarget.write(socket, "$ok\r\n$COPY")
+                    Thread.sleep(50)
+                    if (isReset) ScriptedTarget.reset(socket) else socket.close()
+                }.use { peer ->
+                    val vertx = Vertx.vertx()
+                    val snapshots = PeerSnapshots(vertx, emptyMap())
+                    val address = SocketAddress("127.0.0.1", peer.port)
+                    runBlocking(vertx.dispatcher()) {
+                        val copy = snapshots.fetchOrNull(address, StoreKind.TARGETS)
+                        copy?.revision shouldBe StoreRevision(0, 20).takeIf { !isReset }
+                    }
+                    vertx.close()
                 }
-                vertx.close()
             }
         }
 
--- a/http/src/test/kotlin/org/anvilshed/http/StrictClientCodecTest.kt
+++ b/http/src/test/kotlin/org/anvilshed/http/StrictClientCodecTest.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -74,7 +75,8 @@
     private fun collect() {
         while (true) {
             val message = channel.readInbound<Any>() ?: return
-            if (message is HttpResponse) head = message.takeIf { it.decoderResult().isSuccess }
+            if (message is HttpResponse) head = message
+            if (message is HttpObject && message.decoderResult().isFailure) head = null
             if (message is HttpContent) body.append(message.content().toString(Charsets.ISO_8859_1))
             if (message is LastHttpContent) {
                 head?.let { responses.addLast("${it.status().code()} $body") }
@@ -89,6 +91,20 @@
 private fun response(status: String, body: String = "ok", fields: String = "Server: x\r\n") =
     "HTTP/1.1 $status\r\n${fields}Content-Length: ${body.length}\r\n\r\n$body"
 
+/** Checks that [text] is not passed on as a response and makes the connection unusable, in segments of every length. */
+private fun shouldBeInvalid(text: String) {
+    for (length in 1..text.length) {
+        val connection = Connection()
+        connection.send()
+        text.chunked(length).forEach(connection::receive)
+        withClue("$length: ${text.map(::printable).joinToString("")}") {
+            connection.responses.shouldBeEmpty()
+            connection.isClean shouldBe false
+            connection.send() shouldBe false
+        }
+    }
+}
+
 class StrictClientCodecTest :
     FunSpec({
         test("responses pass, with every kind of framing and in segments of every length") {
@@ -164,13 +180,16 @@
                 "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         )
         for ((what, head) in invalidHeads) {
-            test("a head with $what is no response") {
-                val connection = Connection()
-                connection.send()
-                connection.receive(head)
-                connection.responses.shouldBeEmpty()
-                connection.isClean shouldBe false
-                connection.send() shouldBe false
+            test("a head with $what is no response") { shouldBeInvalid(head) }
+        }
+
+        test("a head whose status is not a number of three digits from 100 to 599 is no response") {
+            for (status in listOf("000", "099", "600", "999", "20", "2000", "abc", "+20", "0x1", "", " ")) {
+                for (version in listOf("HTTP/1.1", "HTTP/1.0")) {
+                    for (reason in listOf("", " ", " OK")) {
+                        shouldBeInvalid("$version $status$reason\r\nContent-Length: 2\r\n\r\nok")
+                    }
+                }
             }
         }
 
--- a/wire/src/test/kotlin/org/anvilshed/wire/platform/VertxPlatformClientTest.kt
+++ b/wire/src/test/kotlin/org/anvilshed/wire/platform/VertxPlatformClientTest.kt
@@ -1,5 +1,6 @@
 package org.anvilshed.wire.platform
 
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -131,6 +132,20 @@
             client().list("seats/").shouldBeInstanceOf<PlatformResult.Unavailable>()
         }
 
+        fun raw(bytes: String): (HttpServerRequest) -> Unit = { request ->
+            val channel = (request.connection() as HttpServerConnection).channelHandlerContext().pipeline()
+            channel.firstContext().writeAndFlush(Unpooled.copiedBuffer(bytes, Charsets.ISO_8859_1))
+        }
+
+        test("a write is uncertain when its answer has an invalid status") {
+            for (status in listOf("000", "099", "600", "20", "2000", "abc")) {
+                respond = raw("HTTP/1.1 $status OK\r\nObject-Version: 7\r\nContent-Length: 0\r\n\r\n")
+                withClue(status) {
+                    client().put("a", ByteArray(0), 1).shouldBeInstanceOf<PlatformResult.OutcomeUncertain>()
+                }
+            }
+        }
+
         // Guards against a write that is taken for done because of the beginning of an answer.
         test("a write is uncertain when its answer has no length and is reset during the call") {
             val upload = ByteArray(8 * 1024 * 1024)
