--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/ScriptedTarget.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/ScriptedTarget.kt
@@ -14,8 +14,8 @@
 }
 
 /**
- * Target whose responses a test writes byte by byte; [respond] runs on a thread of the connection, after the body of the
- * request was read. With a field `X-Early` in the request, it runs before that and is passed an empty body.
+ * Target whose responses a test writes byte by byte; [respond] runs on a thread of the connection, after the body of
+ * the request was read. With a field `X-Early` in the request, it runs before that and is passed an empty body.
  */
 class ScriptedTarget(private val respond: (ReceivedRequest, Socket) -> Unit) : AutoCloseable {
     private val server = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
