An invalid interim response ends the exchange at once

What callers saw: nothing broken, but 504 at the end of their time limit where the target had already written an invalid interim response and the final one in the same segment.

Cause: StrictClientCodec drops interim responses, also those that the decoder reports as invalid. The report was dropped with them, and the decoder discards all bytes behind an invalid head.

Fix: only a valid head counts as interim, so that Vert.x gets the invalid one and fails the exchange: 502, and an idempotent request may go on to another target.

--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayInvalidResponseTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayInvalidResponseTest.kt
@@ -14,6 +14,16 @@
 private val STREAMED = "x".repeat(1_000_000)
 private val INVALID_STATUSES = listOf("000", "099", "600", "999", "20", "2000", "abc", "")
 
+/** Lines that are no field. */
+private val INVALID_LINES = listOf(
+    "X Odd: v",
+    "X-Odd : v",
+    "X-\u0000Odd: v",
+    "X-\rOdd: v",
+    "\u0001X-Odd: v",
+)
+private val NO_BODY = listOf("Content-Length: 0")
+
 private fun head(request: ReceivedRequest, status: String, lines: List<String>): String {
     val fields = listOf("X-Id: ${request.id}", "X-Stamp: stamp") + lines
     return "HTTP/1.1 $status\r\n" + fields.joinToString("") { "$it\r\n" } + "\r\n"
@@ -76,4 +86,15 @@
                 }
             }
         }
+
+        // Guards against a request that waits for its time limit, as nothing tells of the invalid head.
+        test("an invalid interim response makes the response invalid at once") {
+            withFaultyTarget { testbed, target, faulty ->
+                val wrong = INVALID_LINES.mapIndexedNotNull { index, line ->
+                    faulty.bytes = { head(it, "103 Early Hints", listOf(line)) + head(it, "200 OK", NO_BODY) }
+                    faultOrNull(testbed, target, "POST", "$index")?.let { "$line: $it" }
+                }
+                wrong.shouldBeEmpty()
+            }
+        }
     })
--- a/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
+++ b/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
@@ -124,7 +124,8 @@
 
         private fun observe(message: Any) {
             if (message is HttpResponse) {
-                isInterim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
+                isInterim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL &&
+                    message.decoderResult().isSuccess
             }
             if (message is HttpObject && message.decoderResult().isFailure) isClean = false
             if (message is LastHttpContent && !isInterim) unanswered.removeFirstOrNull()
