A folded line makes a response invalid

What callers saw: a target whose head had a line that begins with a space or tab was answered for.

Cause: Netty's decoder joins a line that begins with a space or tab with the line before (obs-fold). RFC 9112, section 5.2, lets a gateway reject such a response instead, and no sender may write one.

Fix: ResponseSyntaxChecker sees the bytes of each head before the decoder and reports a line that begins with a space; StrictClientCodec then passes on an invalid response, as it does for every other fault. The head never reaches the code that reads limits, leaves, pauses or refusals from it. Interim responses are checked alike. All clients have this codec.

Already handled, tests kept: a space or control character inside or behind a name, a control character in front of it, trailers.

--- a/daemon/src/test/kotlin/org/anvilshed/daemon/InvalidAnswerTest.kt
+++ b/daemon/src/test/kotlin/org/anvilshed/daemon/InvalidAnswerTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpMethod
 import io.vertx.ext.web.client.HttpResponse
@@ -15,6 +16,7 @@
 
 private val zone = TestZone("nbo-a", "nbo")
 private val INVALID_STATUSES = listOf("000", "099", "600", "20", "2000", "abc")
+private val INVALID_LINES = listOf(" Content-Length: 5", " X-Odd: v", " ", "X Odd: v", "X-Odd : v", "X-\u0001Odd: v")
 
 /** Guards against a status, a length or a statement that a target's answer does not have by its syntax. */
 class InvalidAnswerTest :
@@ -55,4 +57,33 @@
                 shouldBeUnknown("HTTP/1.1 $status OK\r\nTarget: x\r\nContent-Length: 2\r\n\r\nok")
             }
         }
+
+        test("an answer with an invalid field name is no answer, also if it says that the payout did not run") {
+            for (line in INVALID_LINES) {
+                val fields = "Target: x\r\n$line\r\nContent-Length: 2\r\n\r\nok"
+                shouldBeUnknown("HTTP/1.1 200 OK\r\n$fields")
+                shouldBeUnknown("HTTP/1.1 503 Slow\r\nNot-Run: true\r\nDraining: true\r\n$fields")
+            }
+            eventually(TIMEOUT) { testbed.read(daemon, "/delay/1").statusCode() shouldBe 200 }
+        }
+
+        test("an invalid answer to a read is no answer") {
+            val answer = "HTTP/1.1 200 OK\r\nTarget: x\r\n X-Odd: v\r\nContent-Length: 2\r\n\r\nok"
+            val response = testbed.request(daemon, HttpMethod.POST, "/raw", "read")
+                .putHeader("Anvilshed-Deadline-Ms", "300").sendBuffer(Buffer.buffer(answer)).coAwait()
+            response.getHeader("Anvilshed-Outcome") shouldNotBe "answered"
+        }
+
+        test("nothing that an invalid answer to a health probe says is believed") {
+            val target = testbed.target("nbo-a")
+            val health = """{"state":"draining","slots":4,"in_flight":0}"""
+            val heads = listOf("HTTP/1.1 200 OK\r\nServer: x\r\n X-Odd: v", "HTTP/1.1 000 OK\r\nServer: x")
+            for (head in heads) {
+                target.rawHealth = "$head\r\nContent-Length: ${health.length}\r\n\r\n$health"
+                val before = target.probes.get()
+                eventually(TIMEOUT) { check(target.probes.get() >= before + 2) { "no two probes yet" } }
+                withClue(head) { testbed.read(daemon, "/delay/1").statusCode() shouldBe 200 }
+            }
+            target.rawHealth = null
+        }
     })
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/peers/PeerSnapshotsTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/peers/PeerSnapshotsTest.kt
@@ -42,7 +42,8 @@
         val ok = "HTTP/1.1 200 OK\r\nServer: x\r\n"
         val framed = "Content-Length: ${COPY.length}\r\n\r\n$COPY"
         val invalidResponses = listOf("HHTTP/1.1 200 OK\r\n\r\n") +
-            listOf("000", "099", "600", "20", "2000", "abc").map { "HTTP/1.1 $it OK\r\n$framed" }
+            listOf("000", "099", "600", "20", "2000", "abc").map { "HTTP/1.1 $it OK\r\n$framed" } +
+            listOf(" X-Odd: v", " ", "X Odd: v", "X-Odd : v", "X-\u0001Odd: v").map { "$ok$it\r\n$framed" }
         test("a response that is not valid HTTP is no copy, and does not throw") {
             for (response in invalidResponses) {
                 ScriptedTarget { _, socket -> ScriptedTarget.write(socket, response) }.use { peer ->
--- /dev/null
+++ b/http/src/main/kotlin/org/anvilshed/http/ResponseSyntaxChecker.kt
@@ -0,0 +1,89 @@
+package org.anvilshed.http
+
+import io.netty.buffer.ByteBuf
+
+private const val CR = '\r'.code.toByte()
+private const val LF = '\n'.code.toByte()
+private const val SPACE = ' '.code.toByte()
+private const val TAB = '\t'.code.toByte()
+
+/**
+ * Finds faults in the syntax of responses that Netty's decoder passes over: folded lines, which it joins with the line
+ * before.
+ *
+ * Each byte is checked before the decoder consumes it. The decoder itself checks the ends of lines, names and values of
+ * fields, and the length of the body.
+ *
+ * @see <a href="https://www.rfc-editor.org/rfc/rfc9112.html#name-obsolete-line-folding">RFC 9112, section 5.2</a>
+ */
+internal class ResponseSyntaxChecker {
+    private enum class Part { STATUS_LINE, FIELDS, UNCHECKED }
+
+    private var part = Part.STATUS_LINE
+
+    /** Number of checked bytes that the decoder has not consumed. */
+    private var checkedAhead = 0
+
+    /** The first fault that was found; `null` if there is none. */
+    var fault: String? = null
+        private set
+
+    /** Checks the readable bytes of [input] up to the end of the current head. */
+    fun check(input: ByteBuf) {
+        var index = input.readerIndex() + checkedAhead
+        var next = checkNext(input, index)
+        while (next != index && fault == null) {
+            index = next
+            next = checkNext(input, index)
+        }
+        checkedAhead = index - input.readerIndex()
+    }
+
+    /** Must be called when the decoder has consumed [byteCount] bytes. */
+    fun onConsumed(byteCount: Int) {
+        checkedAhead = (checkedAhead - byteCount).coerceAtLeast(0)
+    }
+
+    /** Must be called when the decoder has passed on the end of a response. */
+    fun onEnd() {
+        part = Part.STATUS_LINE
+    }
+
+    /** Returns where the check goes on, which is [index] if it needs more bytes or has found a fault. */
+    private fun checkNext(input: ByteBuf, index: Int): Int = when (part) {
+        Part.STATUS_LINE -> checkStatusLine(input, index)
+        Part.FIELDS -> checkField(input, index)
+        Part.UNCHECKED -> index
+    }
+
+    private fun checkStatusLine(input: ByteBuf, index: Int): Int {
+        // Line ends between responses are ignored.
+        val start = input.forEachByte(index, input.writerIndex() - index) { it == CR || it == LF }
+        if (start < 0) return input.writerIndex()
+        val end = lineEnd(input, start)
+        if (end < 0) return start
+        part = Part.FIELDS
+        return end + 1
+    }
+
+    private fun checkField(input: ByteBuf, index: Int): Int {
+        val end = lineEnd(input, index)
+        if (end < 0) return index
+        val first = input.getByte(index)
+        if (first == SPACE || first == TAB) return fail(index, "line that begins with a space")
+        if (textEnd(input, index, end) == index) part = Part.UNCHECKED
+        return end + 1
+    }
+
+    private fun fail(index: Int, fault: String): Int {
+        this.fault = fault
+        return index
+    }
+
+    /** Returns the index of the next line feed, or -1 if there is none. */
+    private fun lineEnd(input: ByteBuf, start: Int): Int = input.indexOf(start, input.writerIndex(), LF)
+
+    /** Returns the end of the text of a line from [start] to its line feed at [end]. */
+    private fun textEnd(input: ByteBuf, start: Int, end: Int): Int =
+        if (end > start && input.getByte(end - 1) == CR) end - 1 else end
+}
--- a/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
+++ b/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelPromise
 import io.netty.channel.CombinedChannelDuplexHandler
 import io.netty.channel.socket.ChannelInputShutdownEvent
+import io.netty.handler.codec.DecoderResult
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMessage
@@ -99,6 +100,7 @@
 
     private inner class ResponseDecoder(maximumHeaderBytes: Int) :
         HttpResponseDecoder(HttpDecoderConfig().setMaxHeaderSize(maximumHeaderBytes)) {
+        private val syntax = ResponseSyntaxChecker()
         private var isInterim = false
 
         override fun decode(context: ChannelHandlerContext, input: ByteBuf, output: MutableList<Any>) {
@@ -108,7 +110,16 @@
                 context.close()
                 return
             }
-            super.decode(context, input, output)
+            syntax.check(input)
+            val fault = syntax.fault
+            if (fault == null) {
+                val start = input.readerIndex()
+                super.decode(context, input, output)
+                syntax.onConsumed(input.readerIndex() - start)
+            } else {
+                input.skipBytes(input.readableBytes())
+                output.add(invalidMessage(fault))
+            }
             output.forEach(::observe)
             if (isInterim) output.clear()
             // Also rejected here, before the end of the response is passed on and the connection is used again.
@@ -128,7 +139,17 @@
                     message.decoderResult().isSuccess
             }
             if (message is HttpObject && message.decoderResult().isFailure) isClean = false
-            if (message is LastHttpContent && !isInterim) unanswered.removeFirstOrNull()
+            if (message is LastHttpContent) {
+                syntax.onEnd()
+                if (!isInterim) unanswered.removeFirstOrNull()
+            }
+        }
+
+        /** Returns the message by which a decoder reports that the current response is invalid. */
+        private fun invalidMessage(fault: String): HttpObject {
+            val message = createInvalidMessage()
+            message.decoderResult = DecoderResult.failure(IllegalArgumentException(fault))
+            return message
         }
 
         private fun rejectStrayBytes(input: ByteBuf) {
--- a/http/src/test/kotlin/org/anvilshed/http/StrictClientCodecTest.kt
+++ b/http/src/test/kotlin/org/anvilshed/http/StrictClientCodecTest.kt
@@ -91,6 +91,8 @@
 private fun response(status: String, body: String = "ok", fields: String = "Server: x\r\n") =
     "HTTP/1.1 $status\r\n${fields}Content-Length: ${body.length}\r\n\r\n$body"
 
+private const val CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 /** Checks that [text] is not passed on as a response and makes the connection unusable, in segments of every length. */
 private fun shouldBeInvalid(text: String) {
     for (length in 1..text.length) {
@@ -193,6 +195,41 @@
             }
         }
 
+        test("a head with a control character or space in the name of a field is no response") {
+            for (byte in " \t\u0000\u0001\u000b\u000c\r\u007f\u0080\u00a0") {
+                for (line in listOf("${byte}X-Odd: v", "X${byte}Odd: v", "X-Odd$byte: v")) {
+                    shouldBeInvalid("HTTP/1.1 200 OK\r\n$line\r\nContent-Length: 2\r\n\r\nok")
+                    shouldBeInvalid("HTTP/1.1 200 OK\r\nServer: x\r\n$line\r\nContent-Length: 2\r\n\r\nok")
+                    shouldBeInvalid("HTTP/1.1 500 Error\r\nContent-Length: 2\r\n$line\r\n\r\nok")
+                    shouldBeInvalid("HTTP/1.1 103 Early Hints\r\nLink: x\r\n$line\r\n\r\n" + response("200 OK"))
+                }
+            }
+        }
+
+        // Guards against a length or a value that disappears in the field of the line before.
+        test("a head with a folded line is no response") {
+            val lines =
+                listOf(" Content-Length: 2", "\tContent-Length: 2", " Transfer-Encoding: chunked", " v", " ", "\t")
+            for (line in lines) {
+                shouldBeInvalid("HTTP/1.1 200 OK\r\nServer: x\r\n$line\r\n\r\nok")
+                shouldBeInvalid("HTTP/1.1 200 OK\r\nServer: x\r\nContent-Length: 2\r\n$line\r\n\r\nok")
+            }
+        }
+
+        test("a chunk that is longer or shorter than its size is no part of a response") {
+            for (chunk in listOf("2\r\nokx", "2\r\nok0", "2\r\nok\r", "3\r\nok", "2\nok")) {
+                shouldBeInvalid("${CHUNKED}$chunk\r\n0\r\n\r\n")
+            }
+            shouldBeInvalid("${CHUNKED}2\r\nok\n0\r\n\r\n")
+        }
+
+        test("trailers with a folded line or an invalid name are no end of a response") {
+            for (line in listOf(" X-Odd: v", "\tX-Odd: v", "X Odd: v", "X-Odd : v", "\u0000X-Odd: v", " ", "foo")) {
+                shouldBeInvalid("${CHUNKED}2\r\nok\r\n0\r\n$line\r\n\r\n")
+                shouldBeInvalid("${CHUNKED}2\r\nok\r\n0\r\nX-Last: 1\r\n$line\r\n\r\n")
+            }
+        }
+
         // Guards against the beginning of a response that is taken for the whole.
         test("a response without a length or chunks ends with the end of the stream, and with nothing else") {
             val head = "HTTP/1.1 200 OK\r\nServer: x\r\n"
--- a/wire/src/test/kotlin/org/anvilshed/wire/platform/VertxPlatformClientTest.kt
+++ b/wire/src/test/kotlin/org/anvilshed/wire/platform/VertxPlatformClientTest.kt
@@ -146,6 +146,17 @@
             }
         }
 
+        test("a write is uncertain when its answer has an invalid field name") {
+            for (line in listOf(" X-Odd: v", " ", "X Odd: v", "X-Odd : v", "X-\u0001Odd: v")) {
+                for (code in listOf(200, 409)) {
+                    respond = raw("HTTP/1.1 $code OK\r\nObject-Version: 7\r\n$line\r\nContent-Length: 0\r\n\r\n")
+                    withClue("$code $line") {
+                        client().put("a", ByteArray(0), 1).shouldBeInstanceOf<PlatformResult.OutcomeUncertain>()
+                    }
+                }
+            }
+        }
+
         // Guards against a write that is taken for done because of the beginning of an answer.
         test("a write is uncertain when its answer has no length and is reset during the call") {
             val upload = ByteArray(8 * 1024 * 1024)
