Control characters in and before a status line make a response invalid

What callers saw: a success whose head began with control characters or spaces, whose words were separated by tabs, vertical tabs, form feeds or carriage returns, or whose reason phrase held control characters, was passed on.

Cause: Netty's decoder skips control characters and spaces in front of a status line, and takes several characters for the space between words.

Fix: ResponseSyntaxChecker asks for a status line as RFC 9112, section 4, has it. A reason phrase may be missing with its space, may contain tabs and bytes from 0x80, and line ends between responses are still ignored; a test of unusual heads that must be accepted, in segments of every length, comes with it.

--- a/http/src/main/kotlin/org/anvilshed/http/ResponseSyntaxChecker.kt
+++ b/http/src/main/kotlin/org/anvilshed/http/ResponseSyntaxChecker.kt
@@ -6,10 +6,13 @@
 private const val LF = '\n'.code.toByte()
 private const val SPACE = ' '.code.toByte()
 private const val TAB = '\t'.code.toByte()
+private const val DELETE: Byte = 0x7f
+private const val VERSION_LENGTH = "HTTP/1.1".length
+private const val STATUS_END = "HTTP/1.1 200".length
 
 /**
- * Finds faults in the syntax of responses that Netty's decoder passes over: folded lines, which it joins with the line
- * before.
+ * Finds faults in the syntax of responses that Netty's decoder passes over: control characters in front of a status
+ * line or in it, other separators than a space, and folded lines, which it joins with the line before.
  *
  * Each byte is checked before the decoder consumes it. The decoder itself checks the ends of lines, names and values of
  * fields, and the length of the body.
@@ -60,8 +63,15 @@
         // Line ends between responses are ignored.
         val start = input.forEachByte(index, input.writerIndex() - index) { it == CR || it == LF }
         if (start < 0) return input.writerIndex()
+        if (input.getByte(start) != 'H'.code.toByte()) return fail(index, "no status line at the start of a response")
         val end = lineEnd(input, start)
         if (end < 0) return start
+        val textEnd = textEnd(input, start, end)
+        val isSound = textEnd - start >= STATUS_END &&
+            input.getByte(start + VERSION_LENGTH) == SPACE &&
+            (textEnd - start == STATUS_END || input.getByte(start + STATUS_END) == SPACE) &&
+            isText(input, start, textEnd)
+        if (!isSound) return fail(index, "separator or control character in the status line")
         part = Part.FIELDS
         return end + 1
     }
@@ -86,4 +96,8 @@
     /** Returns the end of the text of a line from [start] to its line feed at [end]. */
     private fun textEnd(input: ByteBuf, start: Int, end: Int): Int =
         if (end > start && input.getByte(end - 1) == CR) end - 1 else end
+
+    /** Returns whether there are no control characters but tabs; RFC 9110, section 5.5, allows bytes from 0x80. */
+    private fun isText(input: ByteBuf, start: Int, end: Int): Boolean =
+        input.forEachByte(start, end - start) { it < 0 || (it >= SPACE && it != DELETE) || it == TAB } < 0
 }
--- a/http/src/test/kotlin/org/anvilshed/http/StrictClientCodecTest.kt
+++ b/http/src/test/kotlin/org/anvilshed/http/StrictClientCodecTest.kt
@@ -216,6 +216,22 @@
             }
         }
 
+        test("a head with other bytes than a space between the words of its status line is no response") {
+            for (byte in listOf("\t", "\u000b", "\u000c", "\r", "  ", "\u0000", "\u00a0")) {
+                shouldBeInvalid("HTTP/1.1${byte}200 OK\r\nContent-Length: 2\r\n\r\nok")
+                if (byte != "  ") shouldBeInvalid("HTTP/1.1 200${byte}OK\r\nContent-Length: 2\r\n\r\nok")
+            }
+        }
+
+        test("a head with a control character in front of its status line or in its reason phrase is no response") {
+            for (byte in listOf("\u0000", "\u0001", "\u000b", "\u001c", "\u007f")) {
+                shouldBeInvalid(byte + response("200 OK"))
+                shouldBeInvalid("\r\n$byte" + response("200 OK"))
+                shouldBeInvalid(response("200 O${byte}K"))
+            }
+            for (space in listOf(" ", "\t", "\r\n ")) shouldBeInvalid(space + response("200 OK"))
+        }
+
         test("a chunk that is longer or shorter than its size is no part of a response") {
             for (chunk in listOf("2\r\nokx", "2\r\nok0", "2\r\nok\r", "3\r\nok", "2\nok")) {
                 shouldBeInvalid("${CHUNKED}$chunk\r\n0\r\n\r\n")
@@ -230,6 +246,27 @@
             }
         }
 
+        test("unusual heads that a server may send are accepted") {
+            val lines =
+                listOf("X-Odd:", "X-Odd:v", "X-Odd: \t v \t", "X-Odd: v\tw", "X-Odd: \u00e9", "X!#$%&'*+-.^_`|~9: v")
+            val heads = listOf("200 OK", "200 ", "200", "200  OK", "200 O\tK", "200 \u00e9").map { response(it) } +
+                lines.map { response("200 OK", fields = "$it\r\n") } +
+                listOf("\r\n", "\n", "\r\n\r\n").map { it + response("200 OK") } +
+                listOf("HTTP/1.0 200 OK\r\nContent-Length: 02\r\n\r\nok") +
+                listOf("HTTP/1.1 100 Continue\r\n\r\n" + response("200 OK"))
+            for (head in heads) {
+                for (length in 1..head.length) {
+                    val connection = Connection()
+                    connection.send()
+                    head.chunked(length).forEach(connection::receive)
+                    withClue("$length: $head") {
+                        connection.responses.shouldContainExactly("200 ok")
+                        connection.isClean shouldBe true
+                    }
+                }
+            }
+        }
+
         // Guards against the beginning of a response that is taken for the whole.
         test("a response without a length or chunks ends with the end of the stream, and with nothing else") {
             val head = "HTTP/1.1 200 OK\r\nServer: x\r\n"
