A chunk whose size line is not valid makes a response invalid

What callers saw: a success with a body that was not the target's. A chunk of "" bytes was read as one of 2 bytes, and with "2 x", " 2" or control characters beside the size the response passed.

Cause: Netty's decoder lets the size overflow 32 bits, skips spaces and control characters in front of it, and ignores all that follows it.

Fix: ResponseSyntaxChecker follows the chunks of a body and asks for a size of 31 bits, with an extension or without. An invalid chunk ends the response as invalid, so that a streamed one is broken off.

Already handled, tests kept: chunks that are longer or shorter than their size, line ends without a carriage return.

--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayInvalidResponseTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayInvalidResponseTest.kt
@@ -191,4 +191,17 @@
                 repeat(4) { testbed.call("/safe/", "id-$it").body shouldBe BODY }
             }
         }
+
+        test("a streamed response with an invalid chunk is incomplete") {
+            for (chunk in listOf("100000002\r\nok", "2 x\r\nok", " 2\r\nok", "2\u0000\r\nok", "2\r\nokx")) {
+                withFaultyTarget { testbed, _, faulty ->
+                    faulty.bytes = {
+                        val first = "${STREAMED.length.toString(16)}\r\n$STREAMED\r\n"
+                        head(it, "200 OK", listOf("Transfer-Encoding: chunked")) + "$first$chunk\r\n0\r\n\r\n"
+                    }
+                    withClue(chunk) { testbed.call("/safe/", "broken").complete shouldBe false }
+                    testbed.call("/safe/", "sound").body shouldBe "sound"
+                }
+            }
+        }
     })
--- a/http/src/main/kotlin/org/anvilshed/http/ResponseSyntaxChecker.kt
+++ b/http/src/main/kotlin/org/anvilshed/http/ResponseSyntaxChecker.kt
@@ -6,32 +6,41 @@
 private const val LF = '\n'.code.toByte()
 private const val SPACE = ' '.code.toByte()
 private const val TAB = '\t'.code.toByte()
+private const val SEMICOLON = ';'.code.toByte()
 private const val DELETE: Byte = 0x7f
+private const val BYTE_MASK = 0xff
+private const val HEXADECIMAL = 16
 private const val VERSION_LENGTH = "HTTP/1.1".length
 private const val STATUS_END = "HTTP/1.1 200".length
 
 /**
  * Finds faults in the syntax of responses that Netty's decoder passes over: control characters in front of a status
- * line or in it, other separators than a space, and folded lines, which it joins with the line before.
+ * line or in it, other separators than a space, folded lines, and bytes beside the size of a chunk.
  *
  * Each byte is checked before the decoder consumes it. The decoder itself checks the ends of lines, names and values of
  * fields, and the length of the body.
  *
  * @see <a href="https://www.rfc-editor.org/rfc/rfc9112.html#name-obsolete-line-folding">RFC 9112, section 5.2</a>
+ * @see <a href="https://www.rfc-editor.org/rfc/rfc9112.html#name-chunked-transfer-coding">RFC 9112, section 7.1</a>
  */
 internal class ResponseSyntaxChecker {
-    private enum class Part { STATUS_LINE, FIELDS, UNCHECKED }
+    private enum class Part { STATUS_LINE, FIELDS, CHUNK_SIZE, CHUNK_DATA, CHUNK_END, TRAILERS, UNCHECKED }
 
     private var part = Part.STATUS_LINE
 
     /** Number of checked bytes that the decoder has not consumed. */
     private var checkedAhead = 0
+    private var unreadChunkBytes = 0
 
     /** The first fault that was found; `null` if there is none. */
     var fault: String? = null
         private set
 
-    /** Checks the readable bytes of [input] up to the end of the current head. */
+    /** Whether the head of the current response has not ended. */
+    val isInHead: Boolean
+        get() = part == Part.STATUS_LINE || part == Part.FIELDS
+
+    /** Checks the readable bytes of [input] up to the end of the current head or body. */
     fun check(input: ByteBuf) {
         var index = input.readerIndex() + checkedAhead
         var next = checkNext(input, index)
@@ -47,6 +56,11 @@
         checkedAhead = (checkedAhead - byteCount).coerceAtLeast(0)
     }
 
+    /** Must be called when the decoder has passed on a head. */
+    fun onHead(isChunked: Boolean) {
+        if (isChunked) part = Part.CHUNK_SIZE
+    }
+
     /** Must be called when the decoder has passed on the end of a response. */
     fun onEnd() {
         part = Part.STATUS_LINE
@@ -55,7 +69,10 @@
     /** Returns where the check goes on, which is [index] if it needs more bytes or has found a fault. */
     private fun checkNext(input: ByteBuf, index: Int): Int = when (part) {
         Part.STATUS_LINE -> checkStatusLine(input, index)
-        Part.FIELDS -> checkField(input, index)
+        Part.FIELDS, Part.TRAILERS -> checkField(input, index)
+        Part.CHUNK_SIZE -> checkChunkSize(input, index)
+        Part.CHUNK_DATA -> skipChunkData(input, index)
+        Part.CHUNK_END -> checkChunkEnd(input, index)
         Part.UNCHECKED -> index
     }
 
@@ -85,6 +102,44 @@
         return end + 1
     }
 
+    private fun checkChunkSize(input: ByteBuf, index: Int): Int {
+        val end = lineEnd(input, index)
+        if (end < 0) return index
+        val textEnd = textEnd(input, index, end)
+        var size = 0L
+        var position = index
+        while (position < textEnd && size <= Int.MAX_VALUE) {
+            val digit = Character.digit(input.getByte(position).toInt() and BYTE_MASK, HEXADECIMAL)
+            if (digit < 0) break
+            size = size * HEXADECIMAL + digit
+            position++
+        }
+        val hasExtension = position < textEnd
+        val isSound = position > index &&
+            size <= Int.MAX_VALUE &&
+            (!hasExtension || (input.getByte(position) == SEMICOLON && isText(input, position, textEnd)))
+        if (!isSound) return fail(index, "size of a chunk is not a number of 31 bits")
+        unreadChunkBytes = size.toInt()
+        part = if (unreadChunkBytes == 0) Part.TRAILERS else Part.CHUNK_DATA
+        return end + 1
+    }
+
+    private fun skipChunkData(input: ByteBuf, index: Int): Int {
+        val length = minOf(unreadChunkBytes, input.writerIndex() - index)
+        unreadChunkBytes -= length
+        if (unreadChunkBytes == 0) part = Part.CHUNK_END
+        return index + length
+    }
+
+    private fun checkChunkEnd(input: ByteBuf, index: Int): Int {
+        if (input.writerIndex() - index < 2) return index
+        if (input.getByte(index) != CR || input.getByte(index + 1) != LF) {
+            return fail(index, "chunk is longer than its size")
+        }
+        part = Part.CHUNK_SIZE
+        return index + 2
+    }
+
     private fun fail(index: Int, fault: String): Int {
         this.fault = fault
         return index
--- a/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
+++ b/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.CombinedChannelDuplexHandler
 import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.DecoderResult
+import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMessage
@@ -17,6 +18,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.AsciiString
 import io.netty.util.ReferenceCountUtil
@@ -137,6 +139,7 @@
             if (message is HttpResponse) {
                 isInterim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL &&
                     message.decoderResult().isSuccess
+                syntax.onHead(HttpUtil.isTransferEncodingChunked(message))
             }
             if (message is HttpObject && message.decoderResult().isFailure) isClean = false
             if (message is LastHttpContent) {
@@ -147,7 +150,7 @@
 
         /** Returns the message by which a decoder reports that the current response is invalid. */
         private fun invalidMessage(fault: String): HttpObject {
-            val message = createInvalidMessage()
+            val message = if (syntax.isInHead) createInvalidMessage() else DefaultLastHttpContent()
             message.decoderResult = DecoderResult.failure(IllegalArgumentException(fault))
             return message
         }
--- a/http/src/test/kotlin/org/anvilshed/http/StrictClientCodecTest.kt
+++ b/http/src/test/kotlin/org/anvilshed/http/StrictClientCodecTest.kt
@@ -107,6 +107,33 @@
     }
 }
 
+private const val TEXT = "[\\t\\x20-\\x7e\\x80-\\xff]"
+private const val FIELDS = "(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:$TEXT*\r\n)*\r\n"
+private val RESPONSE_HEAD = Regex("[\r\n]*HTTP/1\\.[01] ([1-5])\\d\\d(?: $TEXT*)?\r\n$FIELDS")
+private val CHUNK_HEAD = Regex("([0-9A-Fa-f]{1,8})(?:;$TEXT*)?\r\n")
+private val TRAILERS = Regex(FIELDS)
+private val LENGTH_FIELD = Regex("(?i)\r\ncontent-length:[\\t ]*(\\d+)[\\t ]*\r\n")
+
+/** Returns whether [text] starts with a whole final response by the grammar of RFC 9112. */
+private fun startsWithResponse(text: String): Boolean {
+    val head = RESPONSE_HEAD.matchAt(text, 0) ?: return false
+    val rest = text.substring(head.range.last + 1)
+    if (head.groupValues[1] == "1") return startsWithResponse(rest)
+    LENGTH_FIELD.find(head.value)?.let { return rest.length >= it.groupValues[1].toInt() }
+    return startsWithChunks(rest)
+}
+
+private fun startsWithChunks(text: String): Boolean {
+    val head = CHUNK_HEAD.matchAt(text, 0) ?: return false
+    val start = head.range.last + 1
+    val size = head.groupValues[1].toLong(radix = 16)
+    if (size == 0L) return TRAILERS.matchesAt(text, start)
+    val end = start + size
+    return end + 2 <= text.length &&
+        text.startsWith("\r\n", end.toInt()) &&
+        startsWithChunks(text.substring(end.toInt() + 2))
+}
+
 class StrictClientCodecTest :
     FunSpec({
         test("responses pass, with every kind of framing and in segments of every length") {
@@ -232,6 +259,15 @@
             for (space in listOf(" ", "\t", "\r\n ")) shouldBeInvalid(space + response("200 OK"))
         }
 
+        test("a chunk whose size is not a number of 31 bits is no part of a response") {
+            val sizes = listOf("", " ", "+2", "-2", "0x2", "2, 3", "100000002", "80000000", "fffffffff") +
+                listOf(" 2", "\t2", "\u000b2", "2 ", "2 x", "2\tx", "2\u0000", "2\rx", "2;a\u0000b", "2;a\rb", "2 ;a")
+            for (size in sizes) {
+                shouldBeInvalid("$CHUNKED$size\r\nok\r\n0\r\n\r\n")
+                shouldBeInvalid("${CHUNKED}2\r\nok\r\n$size\r\nok\r\n0\r\n\r\n")
+            }
+        }
+
         test("a chunk that is longer or shorter than its size is no part of a response") {
             for (chunk in listOf("2\r\nokx", "2\r\nok0", "2\r\nok\r", "3\r\nok", "2\nok")) {
                 shouldBeInvalid("${CHUNKED}$chunk\r\n0\r\n\r\n")
@@ -246,13 +282,17 @@
             }
         }
 
-        test("unusual heads that a server may send are accepted") {
+        test("unusual heads and chunks that a server may send are accepted") {
             val lines =
                 listOf("X-Odd:", "X-Odd:v", "X-Odd: \t v \t", "X-Odd: v\tw", "X-Odd: \u00e9", "X!#$%&'*+-.^_`|~9: v")
             val heads = listOf("200 OK", "200 ", "200", "200  OK", "200 O\tK", "200 \u00e9").map { response(it) } +
                 lines.map { response("200 OK", fields = "$it\r\n") } +
                 listOf("\r\n", "\n", "\r\n\r\n").map { it + response("200 OK") } +
                 listOf("HTTP/1.0 200 OK\r\nContent-Length: 02\r\n\r\nok") +
+                listOf("2", "02", "000000000002", "2;a", "2;a=b", "2;a=\"b c\"").map {
+                    "$CHUNKED$it\r\nok\r\n0\r\n\r\n"
+                } +
+                listOf("0", "00", "0;a").map { "${CHUNKED}1\r\no\r\n1\r\nk\r\n$it\r\nX-Last: 1\r\n\r\n" } +
                 listOf("HTTP/1.1 100 Continue\r\n\r\n" + response("200 OK"))
             for (head in heads) {
                 for (length in 1..head.length) {
@@ -267,6 +307,31 @@
             }
         }
 
+        // Guards against a further place where the decoder is lenient: compares with a grammar of whole responses.
+        test("a response with a few changed bytes is passed on only if a server may send it") {
+            val random = Random(45)
+            val bytes = "\r\n \t:;0129aHx-\u0000\u0001\u000b\u000c\u001c\u007f\u0080\u00a0\u00e9"
+            val originals = listOf(
+                response("200 OK"),
+                "${CHUNKED}2\r\nab\r\n1;a=b\r\nc\r\n0\r\nX-Last: 1\r\n\r\n",
+                "HTTP/1.1 100 Continue\r\nLink: x\r\n\r\n" + response("503 Slow", "later"),
+            )
+            repeat(40_000) { round ->
+                val text = StringBuilder(originals.random(random))
+                repeat(1 + random.nextInt(2)) {
+                    val position = random.nextInt(text.length)
+                    if (random.nextBoolean()) text.deleteCharAt(position)
+                    if (random.nextInt(4) > 0) text.insert(position, bytes.random(random))
+                }
+                val connection = Connection()
+                connection.send()
+                text.chunked(1 + random.nextInt(text.length)).forEach(connection::receive)
+                withClue("round $round: ${text.map(::printable).joinToString("")}") {
+                    if (connection.responses.isNotEmpty()) startsWithResponse(text.toString()) shouldBe true
+                }
+            }
+        }
+
         // Guards against the beginning of a response that is taken for the whole.
         test("a response without a length or chunks ends with the end of the stream, and with nothing else") {
             val head = "HTTP/1.1 200 OK\r\nServer: x\r\n"
