A transfer coding other than chunked makes a response invalid

What callers saw: a body that was not the target's. With "chunked, gzip" only the chunks were taken off, with "gzip", "identity" or an unknown coding the caller got the coded bytes, and the field that says so does not pass the VM.

Cause: Netty's decoder takes any list that contains "chunked" for chunks, and all else for a body that ends with its connection.

Fix: the rule that CallerRequestDecoder has for requests, now for the responses of all clients: exactly "chunked", in HTTP/1.1, without a length.

--- a/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
+++ b/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.AsciiString
 import io.netty.util.ReferenceCountUtil
@@ -184,8 +185,11 @@
         override fun isContentAlwaysEmpty(message: HttpMessage): Boolean {
             val headers = message.headers()
             require(headers.none { containsStatusLine(it.value) }) { "status line inside a field" }
-            require(HttpHeaderNames.TRANSFER_ENCODING !in headers || HttpHeaderNames.CONTENT_LENGTH !in headers) {
-                "Content-Length beside Transfer-Encoding"
+            val codings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING)
+            if (codings.isNotEmpty()) {
+                require(codings.singleOrNull().equals("chunked", ignoreCase = true)) { "unsupported Transfer-Encoding" }
+                require(HttpHeaderNames.CONTENT_LENGTH !in headers) { "Content-Length beside Transfer-Encoding" }
+                require(message.protocolVersion() == HttpVersion.HTTP_1_1) { "Transfer-Encoding in HTTP/1.0" }
             }
             return unanswered.firstOrNull() == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
         }
