anvilctl reads the responses of VMs as strictly as all others

What operators saw: anvilctl printed a response of a VM whose status was 000, or whose head had a folded line, as a response.

Cause: its requests to VMs used Vert.x's own codec, the only client of the product without StrictClientCodec.

Evidence: SystemEnvironmentTest, "an invalid response is none", failed before at the status 000. Already handled, tests kept: a close-delimited response that is reset (no request body is sent), sound responses.

Fix: the client is built with withStrictResponses.

--- a/cli/src/main/kotlin/org/anvilshed/cli/SystemEnvironment.kt
+++ b/cli/src/main/kotlin/org/anvilshed/cli/SystemEnvironment.kt
@@ -6,6 +6,7 @@
 import io.vertx.ext.web.client.WebClientOptions
 import io.vertx.kotlin.coroutines.coAwait
 import kotlinx.coroutines.runBlocking
+import org.anvilshed.http.withStrictResponses
 import org.anvilshed.wire.platform.PlatformClient
 import org.anvilshed.wire.platform.VertxPlatformClient
 import java.security.SecureRandom
@@ -32,7 +33,8 @@
     ): T = withVertx { vertx -> VertxPlatformClient(vertx, url, clientName, timeout).use { work(it) } }
 
     override fun get(url: String, parameters: Map<String, String>, timeout: Duration): VmResult = withVertx { vertx ->
-        val client = WebClient.create(vertx, WebClientOptions().setFollowRedirects(false))
+        val options = WebClientOptions().setFollowRedirects(false)
+        val client = WebClient.wrap(vertx.httpClientBuilder().with(options).withStrictResponses().build(), options)
         val request = client.getAbs(url).timeout(timeout.inWholeMilliseconds)
         parameters.forEach { (name, value) -> request.addQueryParam(name, value) }
         try {
