Daemon: a broken answer is not ended orderly for its caller

Cause: CallerSink closed the connection of a broken answer; with chunks the missing last one tells, without them the close is the end.

Evidence: CloseDelimitedAnswerTest, "an answer that is reset is not ended orderly for a caller of HTTP/1.0", failed before: the read ended without an error.

Fix: the connection is reset, as the gateway does.

--- a/daemon/src/main/kotlin/org/anvilshed/daemon/http/CallerSink.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/http/CallerSink.kt
@@ -1,8 +1,10 @@
 package org.anvilshed.daemon.http
 
+import io.netty.channel.ChannelOption
 import io.vertx.core.Future
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpServerRequest
+import io.vertx.core.http.impl.HttpServerConnection
 import io.vertx.core.json.JsonObject
 import io.vertx.kotlin.coroutines.coAwait
 import org.anvilshed.core.RefusalReason
@@ -63,8 +65,7 @@
         when (result) {
             ServeResult.Answered -> Unit
 
-            // Only a closed connection shows the caller that the body is incomplete.
-            ServeResult.Broken -> request.connection().close().awaitIgnoringFailure()
+            ServeResult.Broken -> resetConnection()
 
             is ServeResult.NotRun -> {
                 val retryAfter = result.retryAfter?.inWholeMilliseconds
@@ -76,6 +77,13 @@
         }
     }
 
+    /** Resets the connection, so that the caller can't take an incomplete response for a complete one. */
+    private fun resetConnection() {
+        val channel = (request.connection() as HttpServerConnection).channelHandlerContext().channel()
+        if (channel.isOpen) channel.config().setOption(ChannelOption.SO_LINGER, 0)
+        channel.close()
+    }
+
     private suspend fun respond(status: Int, outcome: String, reason: String, message: String, retryAfter: Long?) {
         if (response.closed() || response.ended()) return
         response.statusCode = status
--- a/daemon/src/test/kotlin/org/anvilshed/daemon/CloseDelimitedAnswerTest.kt
+++ b/daemon/src/test/kotlin/org/anvilshed/daemon/CloseDelimitedAnswerTest.kt
@@ -9,10 +9,14 @@
 import io.vertx.core.http.HttpMethod
 import io.vertx.ext.web.client.HttpResponse
 import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.withContext
 import org.anvilshed.daemon.testbed.TEST_TIMEOUT
 import org.anvilshed.daemon.testbed.TIMEOUT
 import org.anvilshed.daemon.testbed.TestZone
 import org.anvilshed.daemon.testbed.Testbed
+import java.net.Socket
+import java.net.SocketException
 
 private val zone = TestZone("nbo-a", "nbo")
 
@@ -65,4 +69,17 @@
                 pay("/early-end", identifier).bodyAsString() shouldBe "early"
             }
         }
+
+        // Without chunks, a caller takes an orderly end of its connection for the end of the answer.
+        test("an answer that is reset is not ended orderly for a caller of HTTP/1.0") {
+            val request = "POST /v1/services/booking/early-reset HTTP/1.0\r\nHost: x\r\nAnvilshed-Kind: read\r\n" +
+                "Content-Length: 1\r\n\r\nx"
+            withContext(Dispatchers.IO) {
+                Socket("127.0.0.1", daemon.ports.callers).use { socket ->
+                    socket.soTimeout = TIMEOUT.inWholeMilliseconds.toInt()
+                    socket.getOutputStream().write(request.toByteArray())
+                    shouldThrow<SocketException> { socket.getInputStream().readAllBytes() }
+                }
+            }
+        }
     })
