--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayCloseDelimitedResponseTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayCloseDelimitedResponseTest.kt
@@ -1,5 +1,6 @@
 package org.anvilshed.gateway
 
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainExactly
@@ -10,6 +11,7 @@
 import org.anvilshed.gateway.testbed.ScriptedTarget
 import org.anvilshed.gateway.testbed.withTargets
 import java.net.Socket
+import java.net.SocketException
 import java.util.concurrent.CopyOnWriteArraySet
 
 private const val HELD = "whole body"
@@ -66,6 +68,17 @@
             }
         }
 
+        // Without chunks, a caller takes an orderly end of its connection for the end of the response.
+        test("a streamed response that is reset is not ended orderly for a caller of HTTP/1.0") {
+            withTargets(breakingOff(STREAMED)) { testbed, _ ->
+                testbed.connect().use { socket ->
+                    val fields = "Host: test.example\r\nX-Id: id\r\nX-Deadline: 2000\r\n"
+                    ScriptedTarget.write(socket, "GET /safe/ HTTP/1.0\r\n$fields\r\n")
+                    shouldThrow<SocketException> { socket.getInputStream().readAllBytes() }
+                }
+            }
+        }
+
         test("an idempotent request whose response is reset is sent to another target") {
             val whole: (ReceivedRequest, Socket) -> Unit = { request, socket ->
                 ScriptedTarget.write(socket, head(request, "Content-Length: ${HELD.length}\r\n") + HELD)
