--- a/http/src/main/kotlin/org/anvilshed/http/ResponseSyntaxChecker.kt
+++ b/http/src/main/kotlin/org/anvilshed/http/ResponseSyntaxChecker.kt
@@ -30,7 +30,9 @@
 
     /** Number of checked bytes that the decoder has not consumed. */
     private var checkedAhead = 0
-    private var unreadChunkBytes = 0
+
+    /** Number of bytes of the current chunk that were not received yet. */
+    private var missingChunkBytes = 0
 
     /** The first fault that was found; `null` if there is none. */
     var fault: String? = null
@@ -118,16 +120,16 @@
         val isSound = position > index &&
             size <= Int.MAX_VALUE &&
             (!hasExtension || (input.getByte(position) == SEMICOLON && isText(input, position, textEnd)))
-        if (!isSound) return fail(index, "size of a chunk is not a number of 31 bits")
-        unreadChunkBytes = size.toInt()
-        part = if (unreadChunkBytes == 0) Part.TRAILERS else Part.CHUNK_DATA
+        if (!isSound) return fail(index, "invalid size or extension of a chunk")
+        missingChunkBytes = size.toInt()
+        part = if (missingChunkBytes == 0) Part.TRAILERS else Part.CHUNK_DATA
         return end + 1
     }
 
     private fun skipChunkData(input: ByteBuf, index: Int): Int {
-        val length = minOf(unreadChunkBytes, input.writerIndex() - index)
-        unreadChunkBytes -= length
-        if (unreadChunkBytes == 0) part = Part.CHUNK_END
+        val length = minOf(missingChunkBytes, input.writerIndex() - index)
+        missingChunkBytes -= length
+        if (missingChunkBytes == 0) part = Part.CHUNK_END
         return index + length
     }
 
--- a/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
+++ b/http/src/main/kotlin/org/anvilshed/http/StrictClientCodec.kt
@@ -57,8 +57,8 @@
     public var isClean: Boolean = true
         private set
 
-    /** Whether reading or writing has failed. */
-    private var hasFailed = false
+    /** Whether reading has failed; a failed write closes the channel. */
+    private var hasReadFailed = false
 
     /** Whether the server has closed its side of the connection in an orderly way. */
     private var isEndOfStreamRead = false
@@ -73,19 +73,19 @@
     }
 
     override fun handlerAdded(context: ChannelHandlerContext) {
-        // Without this, nothing but the close of the channel would show the end of the stream, as it shows any failure.
+        // Makes the end of the stream an event of its own. By default the channel closes, as it does after a failure.
         context.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
         super.handlerAdded(context)
     }
 
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        if (cause is IOException) hasFailed = true
+        if (cause is IOException) hasReadFailed = true
         super.exceptionCaught(context, cause)
     }
 
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
         // Also triggered after a failed read.
-        if (event is ChannelInputShutdownEvent) isEndOfStreamRead = !hasFailed
+        if (event is ChannelInputShutdownEvent) isEndOfStreamRead = !hasReadFailed
         super.userEventTriggered(context, event)
         if (event is ChannelInputShutdownEvent) context.close()
     }
@@ -129,9 +129,9 @@
             if (isClean && unanswered.isEmpty()) rejectStrayBytes(input)
         }
 
-        /** Called for the end of the stream and when the channel has closed. */
+        /** Called at the end of the stream and when the channel has closed; ends a close-delimited response. */
         override fun decodeLast(context: ChannelHandlerContext, input: ByteBuf, output: MutableList<Any>) {
-            if (!isEndOfStreamRead) return
+            if (!isEndOfStreamRead || !isClean) return
             super.decodeLast(context, input, output)
             output.forEach(::observe)
         }
