--- a/http/src/test/kotlin/org/anvilshed/http/StrictClientCodecTest.kt
+++ b/http/src/test/kotlin/org/anvilshed/http/StrictClientCodecTest.kt
@@ -368,6 +368,17 @@
             }
         }
 
+        test("a response with a length or chunks that is whole before a reset is complete") {
+            for (whole in listOf(response("200 OK"), "${CHUNKED}2\r\nok\r\n0\r\n\r\n")) {
+                val connection = Connection()
+                connection.send()
+                connection.receive(whole)
+                connection.receiveReset()
+                connection.responses.shouldContainExactly("200 ok")
+                connection.isOpen shouldBe false
+            }
+        }
+
         test("a response with a length or chunks that the end of the stream cuts short is incomplete") {
             for (framing in listOf(
                 "Content-Length: 5\r\n\r\nbody",
