Close connections to targets without waiting for unsent data

What callers saw: nothing at once. When the response to a long upload had been given up (no end until the time limit, another identifier), the connection stayed open, with the unsent bytes of the upload beside any budget, for as long as its target read nothing and did not close. The daemon could not finish its stop either while it had such a connection.

Cause: HttpConnection.close of Vert.x, and the reset of a request, write an empty buffer and close the channel once it has been sent. Data that the target does not read is sent never, and so is what is queued behind it.

Fix: closeImmediately closes the channel below Vert.x's handler, so that unsent data is dropped. The gateway uses it for each close of a connection to a target, the daemon wherever it gives up a request that may have been sent in part. Connections without unsent data close as before.

--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/TargetAttempt.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/TargetAttempt.kt
@@ -23,6 +23,7 @@
 import org.anvilshed.daemon.limits.AcquiredTarget
 import org.anvilshed.daemon.remaining
 import org.anvilshed.daemon.toTimerMilliseconds
+import org.anvilshed.http.closeImmediately
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -193,10 +194,10 @@
             upload(connected)
         } catch (_: BodyTooLargeException) {
             bodyFault = UnknownReason.BODY_TOO_LARGE
-            connected.reset()
+            connected.abort()
         } catch (_: IncompleteBodyException) {
             bodyFault = UnknownReason.CANCELLED
-            connected.reset()
+            connected.abort()
         }
     }
 
@@ -262,7 +263,13 @@
             isOverdue && pending != null -> awaitEndAtTarget(connected, pending)
             else -> acquired.abandon(endAtTarget())
         }
-        if (!isOverdue && (!responseComplete || !uploaded)) connected?.reset()
+        if (!isOverdue && (!responseComplete || !uploaded)) connected?.abort()
+    }
+
+    /** Ends a request that may have been sent in part. */
+    private fun HttpClientRequest.abort() {
+        reset()
+        connection()?.closeImmediately()
     }
 
     /**
@@ -271,7 +278,7 @@
      * and would count both requests against its slots.
      */
     private fun awaitEndAtTarget(connected: HttpClientRequest, pending: Future<TargetResponse>) {
-        val timer = context.schedule(endAtTarget()) { connected.reset() }
+        val timer = context.schedule(endAtTarget()) { connected.abort() }
         val onEnd = { hasEnded: Boolean ->
             timer.cancel()
             if (hasEnded) acquired.complete() else acquired.abandon(endAtTarget())
--- a/daemon/src/test/kotlin/org/anvilshed/daemon/CloseDelimitedAnswerTest.kt
+++ b/daemon/src/test/kotlin/org/anvilshed/daemon/CloseDelimitedAnswerTest.kt
@@ -77,6 +77,16 @@
             }
         }
 
+        // Guards against closes that wait for a target to read the rest of the upload.
+        test("the connection of an answer without end is closed at the deadline, also if its target reads no more") {
+            val cancelled = testbed.target("nbo-a").cancelled.get()
+            shouldBeBrokenOff {
+                testbed.request(daemon, HttpMethod.POST, "/early-endless", "read")
+                    .putHeader("Anvilshed-Deadline-Ms", "500").sendBuffer(UPLOAD).coAwait()
+            }
+            eventually(TIMEOUT) { testbed.target("nbo-a").cancelled.get() shouldBe cancelled + 1 }
+        }
+
         // Without chunks, a caller takes an orderly end of its connection for the end of the answer.
         test("an answer that is reset is not ended orderly for a caller of HTTP/1.0") {
             val request = "POST /v1/services/booking/early-reset HTTP/1.0\r\nHost: x\r\nAnvilshed-Kind: read\r\n" +
--- a/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/FakeTarget.kt
+++ b/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/FakeTarget.kt
@@ -22,7 +22,8 @@
  * closes the connection in the middle of the response; `/redirect` redirects to `/echo`; `/hang` never answers; `/fail`
  * answers 500; `/stutter/<ms>` answers and then, after a delay, writes the body of the request outside a response;
  * `/early-end` and `/early-reset` answer without a length before they read the request, and then close their side of
- * the connection or reset it; `/raw` writes the body of the request instead of an answer.
+ * the connection or reset it; `/early-endless` does not end such an answer; `/raw` writes the body of the request
+ * instead of an answer.
  */
 internal class FakeTarget(private val vertx: Vertx, val name: String) {
     private lateinit var server: HttpServer
@@ -97,13 +98,18 @@
         val channel = (request.connection() as HttpServerConnection).channelHandlerContext().channel()
         val answer = Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nTarget: $name\r\n\r\nearly", Charsets.US_ASCII)
         channel.pipeline().firstContext().writeAndFlush(answer)
-        if (request.path() == "/early-end") {
-            (channel as DuplexChannel).shutdownOutput()
-            return
-        }
-        vertx.setTimer(EARLY_RESET_MILLIS) {
-            channel.config().setOption(ChannelOption.SO_LINGER, 0)
-            channel.close()
+        when (request.path()) {
+            "/early-end" -> (channel as DuplexChannel).shutdownOutput()
+
+            "/early-endless" -> {
+                val timer = vertx.setPeriodic(ENDLESS_MILLIS) { writeRaw(request, Buffer.buffer("x")) }
+                channel.closeFuture().addListener { vertx.cancelTimer(timer) }
+            }
+
+            else -> vertx.setTimer(EARLY_RESET_MILLIS) {
+                channel.config().setOption(ChannelOption.SO_LINGER, 0)
+                channel.close()
+            }
         }
     }
 
@@ -167,5 +173,8 @@
 /** Leaves the daemon time to read the answer, and to find that it can't send more of the request. */
 private const val EARLY_RESET_MILLIS = 200L
 
+/** Time between the bytes of an answer without end. */
+private const val ENDLESS_MILLIS = 50L
+
 /** Returns [size] bytes that are the same in every process. */
 internal fun pattern(size: Int): ByteArray = Random(size).nextBytes(size)
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
@@ -13,6 +13,7 @@
 import org.anvilshed.core.fleet.TargetKey
 import org.anvilshed.gateway.DecisionLog
 import org.anvilshed.gateway.MonotonicClock
+import org.anvilshed.http.closeImmediately
 import org.anvilshed.http.useStrictCodec
 import java.io.IOException
 import java.net.ConnectException
@@ -68,7 +69,7 @@
 
     fun close() {
         isOpen = false
-        connection.close()
+        connection.closeImmediately()
     }
 
     companion object {
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayCloseDelimitedResponseTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayCloseDelimitedResponseTest.kt
@@ -14,6 +14,8 @@
 import java.net.Socket
 import java.net.SocketException
 import java.util.concurrent.CopyOnWriteArraySet
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 private const val HELD = "whole body"
 
@@ -39,6 +41,11 @@
     ScriptedTarget.reset(socket)
 }
 
+/** Writes bytes until the gateway has closed the connection; reads nothing. */
+private fun awaitClose(socket: Socket) {
+    while (runCatching { ScriptedTarget.write(socket, "x") }.isSuccess) Thread.sleep(50)
+}
+
 private fun GatewayTestbed.upload(path: String, id: String): CallerResponse =
     call(path, id, method = "POST", body = UPLOAD, extra = "X-Early: 1\r\n")
 
@@ -106,6 +113,30 @@
             }
         }
 
+        // Guards against closes that wait for a target to read the rest of the upload.
+        test("a connection whose response is given up is closed, also if its target reads nothing of the upload") {
+            val heads = mapOf<String, (ReceivedRequest) -> String>(
+                "no end" to { head(it) },
+                "no end, with a length" to { head(it, "Content-Length: 1000000\r\n") },
+                "another identifier" to { head(it).replace(it.id, "other") },
+                "an invalid field" to { head(it, " X-Odd: v\r\n") },
+            )
+            for ((what, head) in heads) {
+                val closed = CountDownLatch(1)
+                withUploads({ request, socket ->
+                    ScriptedTarget.write(socket, head(request))
+                    awaitClose(socket)
+                    closed.countDown()
+                }) { testbed, _ ->
+                    val response = testbed.upload("/once/", "id")
+                    withClue(what) {
+                        response.status shouldBeIn NO_PROMISE
+                        closed.await(5, TimeUnit.SECONDS) shouldBe true
+                    }
+                }
+            }
+        }
+
         test("a response that ends orderly before the upload was read is delivered") {
             for (body in listOf(HELD, STREAMED)) {
                 withUploads({ request, socket ->
--- a/http/src/main/kotlin/org/anvilshed/http/StrictClients.kt
+++ b/http/src/main/kotlin/org/anvilshed/http/StrictClients.kt
@@ -49,6 +49,12 @@
     return codec
 }
 
+/** Closes this connection to a server without waiting until everything that was written to it has been sent. */
+public fun HttpConnection.closeImmediately() {
+    // The close of Vert.x is queued behind unsent data, which a server that does not read never takes.
+    channelHandlerContext(this).close()
+}
+
 /** Vert.x has no public access to the channel of a connection that is not pooled. */
 private val unpooledConnection: Field =
     UnpooledHttpClientConnection::class.java.getDeclaredField("actual").apply { isAccessible = true }
