Ignore entries of targets whose names no request can carry

Cause: the gateway believed the name of an entry unread and put it into the header field that names the target to it. The header map refuses control characters with an exception; one with line ends would have been a field of its own.

The check is in the feed of targets, through which watch events, listings and copies of peers pass.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/FleetFeeds.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/FleetFeeds.kt
@@ -16,6 +16,7 @@
 import org.anvilshed.gateway.store.StoreKind
 import org.anvilshed.gateway.store.StoreObject
 import org.anvilshed.gateway.store.StoreRevision
+import org.anvilshed.gateway.targets.targetNameFieldOrNull
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -134,7 +135,8 @@
         }
 
         private fun readOrNull(stored: StoreObject, now: MonotonicTime): RegisteredTarget? {
-            val target = decoders.target(stored, now)
+            // A target whose name no request can carry is none that registered itself.
+            val target = decoders.target(stored, now)?.takeIf { targetNameFieldOrNull(it.key.name) != null }
             if (target == null) log.warning("target-unreadable", "object" to stored.name, "revision" to stored.revision)
             return target
         }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
@@ -24,6 +24,7 @@
 import org.anvilshed.gateway.targets.TargetConnectionPool
 import org.anvilshed.gateway.targets.TargetExchange
 import org.anvilshed.gateway.targets.TargetRequest
+import org.anvilshed.gateway.targets.targetNameFieldOrNull
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -430,7 +431,8 @@
         val headers: MultiMap = HttpHeaders.headers().addAll(request.target.headers)
         val remaining = (request.placement.deadline - clock()).inWholeMilliseconds.coerceAtLeast(1)
         headers.set(headerNames.deadlineMillis, remaining.toString())
-        headers.set(headerNames.expectedTarget, send.target.key.name)
+        val name = checkNotNull(targetNameFieldOrNull(send.target.key.name)) { "no field can carry the target's name" }
+        headers.set(headerNames.expectedTarget, name)
         return TargetRequest(request.target.id, request.target.method, request.target.uri, headers, request.target.body)
     }
 
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/ScriptedTarget.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/ScriptedTarget.kt
@@ -5,6 +5,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CopyOnWriteArraySet
 import kotlin.concurrent.thread
 
 /** Request as a target received it. */
@@ -23,6 +24,12 @@
     /** Requests in the order in which they arrived. */
     val received = CopyOnWriteArrayList<ReceivedRequest>()
 
+    private val open = CopyOnWriteArraySet<Socket>()
+
+    /** Number of connections that neither side has closed. */
+    val openConnections: Int
+        get() = open.size
+
     val port: Int
         get() = server.localPort
 
@@ -30,7 +37,11 @@
         thread(isDaemon = true) {
             while (!server.isClosed) {
                 val socket = runCatching { server.accept() }.getOrNull() ?: return@thread
-                thread(isDaemon = true) { runCatching { serve(socket) } }
+                open.add(socket)
+                thread(isDaemon = true) {
+                    runCatching { serve(socket) }
+                    open.remove(socket)
+                }
             }
         }
     }
