Answer a request whose work ends with an unexpected exception

Cause: the coroutine of a request had a handler for its cancellation alone. Any other exception ended it without a reply. Exceptions in callbacks, where a response of a target is read, ended nothing at all: the exchange waited until the deadline of the request, and one while a streamed chunk was written would have left that chunk out.

Every exception now ends the request with a true answer: 503 while no target can have run it, otherwise 500, which promises nothing. A response that has begun is broken off. If the answer fails as well, or a request can't be read, the connection is reset. An exception in a callback fails the exchange, which decides about retries as after a broken connection. Each is logged with its stack (request-failed, target-exchange-failed, work-failed) and counted in anvilshed_unexpected_faults_total.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -138,6 +138,7 @@
         limits = { state.currentOrNull?.config?.callerLimits },
         isLeaving = { isLeaving },
         serve = ::serveCaller,
+        onFault = { recordFault("caller connection", it) },
     )
     private val snapshots = PeerSnapshots(vertx, feeds.byKind) { address, bytes ->
         metrics.countStrayBytes("peer")
@@ -249,13 +250,17 @@
             } catch (cancelled: CancellationException) {
                 throw cancelled
             } catch (@Suppress("TooGenericExceptionCaught") fault: Exception) {
-                metrics.countUnexpectedFault()
-                log.warning("work-failed", "work" to name, "cause" to fault.stackTraceToString())
+                recordFault(name, fault)
             }
             delay(RESTART_DELAY)
         }
     }
 
+    private fun recordFault(work: String, fault: Throwable) {
+        metrics.countUnexpectedFault()
+        log.warning("work-failed", "work" to work, "cause" to fault.stackTraceToString())
+    }
+
     private class EntryVm(val callers: SocketAddress, val zone: ZoneName)
 
     private fun ownEntry(): List<EntryVm> =
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/WarmUp.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/WarmUp.kt
@@ -125,7 +125,14 @@
         )
         val state = IngressState().apply { replace(config()) }
         val handler = CallerRequestHandler(scope, state, forwarder, headerNames, log, metrics, clock)
-        return CallerServer(vertx, clock, { state.currentOrNull?.config?.callerLimits }, { false }, handler::handle)
+        return CallerServer(
+            vertx = vertx,
+            clock = clock,
+            limits = { state.currentOrNull?.config?.callerLimits },
+            isLeaving = { false },
+            serve = handler::handle,
+            onFault = { log.warning("warm-up-failed", "cause" to it) },
+        )
     }
 
     private fun config(): IngressConfig {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerConnection.kt
@@ -39,6 +39,7 @@
  * @param maximumBodyBytes longest body that a request may have at present.
  * @param isLeaving whether this VM is shutting down; the last response then closes the connection.
  * @param serve called for each request, in the event loop iteration in which its head was read.
+ * @param onFault called with each unexpected exception while a request is read.
  */
 internal class CallerConnection(
     private val socket: NetSocketInternal,
@@ -48,6 +49,7 @@
     private val maximumBodyBytes: () -> Long,
     private val isLeaving: () -> Boolean,
     private val serve: (CallerRequest) -> Unit,
+    private val onFault: (Throwable) -> Unit,
 ) {
     private val unanswered = ArrayDeque<CallerRequest>()
     private var receiving: CallerRequest? = null
@@ -59,13 +61,17 @@
     val isBusy: Boolean
         get() = unanswered.isNotEmpty() || unflushedWrites > 0
 
-    /** Handles a [message] of the decoder. */
+    /** Handles a [message] of the decoder; after an unexpected exception, the connection is reset. */
+    @Suppress("TooGenericExceptionCaught")
     fun receive(message: Any) {
         try {
             if (isClosing) return
             // Nothing is expected behind a request that closes the connection.
             if (message is HttpRequest && unanswered.lastOrNull()?.closesConnection != true) startRequest(message)
             if (message is HttpContent) receiveContent(message)
+        } catch (fault: Throwable) {
+            onFault(fault)
+            reset(RequestEnd.BEHIND_CLOSING_RESPONSE)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -95,6 +101,14 @@
         return write.map(true).otherwise(false).coAwait()
     }
 
+    /** Resets the connection unless the response to [request], whose turn must have come, is complete. */
+    fun abandon(request: CallerRequest) {
+        if (isClosing || request.isEnded) return
+        unanswered.remove(request)
+        request.completed()
+        reset(RequestEnd.BEHIND_CLOSING_RESPONSE)
+    }
+
     /** Starts a streamed response to [request]. */
     fun startStream(request: CallerRequest, head: ResponseHead): ResponseStream {
         val isChunked = head.contentLength == null && request.isVersion11
@@ -237,12 +251,7 @@
             if (!isClosing) complete(request, closes, write(LastHttpContent.EMPTY_LAST_CONTENT))
         }
 
-        override fun abort() {
-            if (isClosing) return
-            unanswered.remove(request)
-            request.completed()
-            reset(RequestEnd.BEHIND_CLOSING_RESPONSE)
-        }
+        override fun abort(): Unit = abandon(request)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerRequest.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerRequest.kt
@@ -154,6 +154,9 @@
         isEnded = true
     }
 
+    /** Resets the connection, so that the caller does not wait for a response that will never be complete. */
+    fun abandon(): Unit = connection.abandon(this)
+
     /** Ends the request without a response. */
     fun abort(end: RequestEnd) {
         if (isEnded) return
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerServer.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/callers/CallerServer.kt
@@ -20,6 +20,7 @@
  * @param limits limits of the config in force, or `null` before the first config; requests then have no bodies.
  * @param isLeaving whether this VM is shutting down.
  * @param serve called for each request, in the event loop iteration in which its head was read.
+ * @param onFault called with each unexpected exception while a request is read; its connection is reset.
  */
 internal class CallerServer(
     vertx: Vertx,
@@ -27,6 +28,7 @@
     private val limits: () -> CallerLimits?,
     private val isLeaving: () -> Boolean,
     private val serve: (CallerRequest) -> Unit,
+    private val onFault: (Throwable) -> Unit,
 ) {
     private val bodyMemory = MemoryBudget(BODY_MEMORY_BYTES)
     private val connections = HashSet<CallerConnection>()
@@ -88,6 +90,7 @@
             maximumBodyBytes = { limits()?.maximumBodyBytes ?: 0L },
             isLeaving = isLeaving,
             serve = serve,
+            onFault = onFault,
         )
         connections.add(connection)
         internal.messageHandler { connection.receive(it) }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/CallerRequestHandler.kt
@@ -8,6 +8,8 @@
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
@@ -29,6 +31,7 @@
 import org.anvilshed.gateway.callers.RefusedText
 import org.anvilshed.gateway.callers.RequestEnd
 import org.anvilshed.gateway.callers.ResponseHead
+import org.anvilshed.gateway.callers.ResponseStream
 import org.anvilshed.gateway.targets.ExchangeResult
 import org.anvilshed.gateway.targets.TargetRequest
 import java.util.Locale
@@ -78,6 +81,21 @@
         val job = scope.launch(start = CoroutineStart.LAZY) {
             // Lets a connection close that was read together with the request be handled first, which cancels the job.
             yield()
+            serve(exchange, decide)
+        }
+        active[exchange] = job
+        job.invokeOnCompletion {
+            active.remove(exchange)
+            request.releaseBody()
+            exchange.responseMemory.release()
+        }
+        request.onAborted = { end -> cancel(exchange, job, end) }
+        job.start()
+    }
+
+    @Suppress("TooGenericExceptionCaught")
+    private suspend fun serve(exchange: CallerExchange, decide: suspend (CallerExchange) -> Reply) {
+        try {
             val reply = try {
                 decide(exchange)
             } catch (cancelled: CancellationException) {
@@ -86,15 +104,48 @@
             }
             exchange.hasReply = true
             if (reply != null) writeReply(exchange, reply) else writeLastReply(exchange)
+        } catch (fault: Throwable) {
+            // Cancellation of anything else than this request is as unexpected as any other exception.
+            if (fault is CancellationException && !currentCoroutineContext().isActive) throw fault
+            if (exchange.endsWithStop) {
+                withContext(NonCancellable) { replyAfterFault(exchange, fault) }
+            } else {
+                replyAfterFault(exchange, fault)
+            }
         }
-        active[exchange] = job
-        job.invokeOnCompletion {
-            active.remove(exchange)
-            request.releaseBody()
-            exchange.responseMemory.release()
+    }
+
+    /** Ends a request after an unexpected [fault]: with a response, or by resetting the connection if that fails too. */
+    @Suppress("TooGenericExceptionCaught")
+    private suspend fun replyAfterFault(exchange: CallerExchange, fault: Throwable) {
+        recordFault(exchange, fault)
+        exchange.hasReply = true
+        try {
+            writeReply(exchange, faultReply(exchange.forwarded))
+        } catch (further: Throwable) {
+            recordFault(exchange, further)
+            exchange.request.awaitTurn()
+            exchange.request.abandon()
+        }
+    }
+
+    private fun recordFault(exchange: CallerExchange, fault: Throwable) {
+        metrics.countUnexpectedFault()
+        log.warning(
+            "request-failed",
+            "id" to exchange.id,
+            "target" to exchange.forwarded?.lastTarget,
+            "cause" to fault.stackTraceToString(),
+        )
+    }
+
+    private fun faultReply(request: ForwardedRequest?): Reply {
+        request?.streamedStatus?.let { return Reply.Streamed(it, isComplete = false) }
+        return if (request?.mayHaveRun == true) {
+            Reply.Failed(INTERNAL_SERVER_ERROR, INTERNAL_FAULT)
+        } else {
+            Reply.NotRun(SERVICE_UNAVAILABLE, INTERNAL_FAULT, DEFAULT_RETRY_AFTER)
         }
-        request.onAborted = { end -> cancel(exchange, job, end) }
-        job.start()
     }
 
     private inner class CallerExchange(val request: CallerRequest) {
@@ -318,13 +369,7 @@
         var isComplete = false
         try {
             result.head.forEach(stream::write)
-            source.handler { chunk ->
-                stream.write(chunk)
-                if (stream.isFull) {
-                    source.pause()
-                    stream.onDrained { source.resume() }
-                }
-            }
+            source.handler { chunk -> writeChunk(stream, chunk, result) }
             source.resume()
             isComplete = result.ended.await()
         } finally {
@@ -333,6 +378,20 @@
         return isComplete
     }
 
+    @Suppress("TooGenericExceptionCaught")
+    private fun writeChunk(stream: ResponseStream, chunk: Buffer, result: ExchangeResult.Large) {
+        try {
+            stream.write(chunk)
+            if (stream.isFull) {
+                result.response.pause()
+                stream.onDrained { result.response.resume() }
+            }
+        } catch (fault: Throwable) {
+            // Without this chunk, the rest of the body must not complete the response.
+            result.ended.completeExceptionally(fault)
+        }
+    }
+
     private fun logReply(exchange: CallerExchange, reply: Reply, waited: Duration) {
         val (status, reason) = when (reply) {
             is Reply.FromTarget -> reply.result.status to "answered"
@@ -383,8 +442,10 @@
         const val REQUEST_TIMEOUT = 408
         const val BODY_TOO_LARGE = 413
         const val HEADERS_TOO_LARGE = 431
+        const val INTERNAL_SERVER_ERROR = 500
         const val SERVICE_UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
+        const val INTERNAL_FAULT = "internal-fault"
 
         /** Memory for responses that are held whole; further responses are streamed. A sixth of the heap. */
         const val RESPONSE_MEMORY_BYTES = 32L * 1024 * 1024
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
@@ -236,11 +236,15 @@
             outcome = exchangeOutcome
             return result
         } finally {
-            queue.pool.finish(send.inFlight, outcome, clock())
-            queue.dispatch()
+            settle(queue, send, outcome)
         }
     }
 
+    private fun settle(queue: ServiceQueue, send: Placement.Send, outcome: TargetOutcome) {
+        queue.pool.finish(send.inFlight, outcome, clock())
+        queue.dispatch()
+    }
+
     private suspend fun exchange(
         queue: ServiceQueue,
         request: ForwardedRequest,
@@ -267,6 +271,7 @@
             onRateLimit = { recordRateLimit(queue, request, send, it) },
             onLeaving = { onTargetLeaving(send.target) },
             onPause = { recordPause(queue, request, send, it) },
+            onFault = { recordFault(request, send, it) },
         )
         try {
             val result = awaitResult(queue, request, send, exchange)
@@ -285,6 +290,16 @@
         }
     }
 
+    private fun recordFault(request: ForwardedRequest, send: Placement.Send, fault: Throwable) {
+        metrics.countUnexpectedFault()
+        log.warning(
+            "target-exchange-failed",
+            "id" to request.target.id,
+            "target" to send.target.key.name,
+            "cause" to fault.stackTraceToString(),
+        )
+    }
+
     private fun statusLineOrNull(result: ExchangeResult?): String? = when (result) {
         is ExchangeResult.Complete -> "${result.status} ${result.statusMessage}"
         is ExchangeResult.Large -> "${result.response.statusCode()} ${result.response.statusMessage()}"
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
@@ -83,6 +83,7 @@
  * @param onLeaving called as soon as the head of a response has arrived that says that the target shuts down.
  * @param onPause called with the time for which the target wants no requests, as soon as the head of a response that
  *   states it has arrived.
+ * @param onFault called with each unexpected exception while the request is written or the response is read.
  */
 internal class TargetExchange(
     private val connection: TargetConnection,
@@ -92,6 +93,7 @@
     private val onRateLimit: (RateLimitStatement) -> Unit,
     private val onLeaving: () -> Unit,
     private val onPause: (Duration) -> Unit,
+    private val onFault: (Throwable) -> Unit,
 ) {
     private val headArrived = CompletableDeferred<Unit>()
     private val result = CompletableDeferred<ExchangeResult>()
@@ -113,7 +115,7 @@
                     "cannot open a request on the connection: ${created.cause()}",
                 )
             } else {
-                write(created.result())
+                endingOnFault { write(created.result()) }
             }
         }
     }
@@ -132,7 +134,7 @@
         }
         target.exceptionHandler { broken("request failed: $it") }
         target.response().onComplete { head ->
-            if (head.failed()) broken("no response: ${head.cause()}") else receive(head.result())
+            if (head.failed()) broken("no response: ${head.cause()}") else endingOnFault { receive(head.result()) }
         }
         val body = request.body
         val written = if (body == null || body.length() == 0) target.end() else target.end(body)
@@ -165,10 +167,12 @@
             largeBodyEnded.complete(false)
         }
         response.handler { chunk ->
-            val isHeld = body.length + chunk.length() <= BUFFER_LIMIT_BYTES && body.tryAppend(chunk)
-            if (!isHeld && !result.isCompleted) {
-                response.pause()
-                result.complete(ExchangeResult.Large(response, body.parts + chunk, largeBodyEnded))
+            endingOnFault {
+                val isHeld = body.length + chunk.length() <= BUFFER_LIMIT_BYTES && body.tryAppend(chunk)
+                if (!isHeld && !result.isCompleted) {
+                    response.pause()
+                    result.complete(ExchangeResult.Large(response, body.parts + chunk, largeBodyEnded))
+                }
             }
         }
         response.endHandler {
@@ -176,7 +180,7 @@
                 response.getHeader("Content-Length") != null || response.getHeader("Transfer-Encoding") != null
             isResponseReusable = hasFraming && failure == null && keepsConnectionOpen(response)
             largeBodyEnded.complete(failure == null)
-            if (failure == null) complete(response, body.toBuffer(), report)
+            if (failure == null) endingOnFault { complete(response, body.toBuffer(), report) }
         }
     }
 
@@ -203,6 +207,20 @@
         result.complete(ExchangeResult.Broken(cause, hasResponded))
     }
 
+    /** Runs [work] of a callback; after an exception there, nothing else would end the exchange. */
+    @Suppress("TooGenericExceptionCaught")
+    private inline fun endingOnFault(work: () -> Unit) {
+        try {
+            work()
+        } catch (fault: Throwable) {
+            isResponseReusable = false
+            broken("unexpected: $fault")
+            largeBodyEnded.complete(false)
+            connection.close()
+            onFault(fault)
+        }
+    }
+
     private fun keepsConnectionOpen(response: HttpClientResponse): Boolean =
         !response.getHeader("Connection").orEmpty().contains("close", ignoreCase = true)
 
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayTargetNamesTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayTargetNamesTest.kt
@@ -91,7 +91,14 @@
         }
 
         test("targets whose names have no form in common are used") {
-            for (name in listOf("a", "I-7F3A91C2", "Zone A/42", "books_1.north@vm", "\u00E9t\u00E9-\u20AC", "x".repeat(200))) {
+            for (name in listOf(
+                "a",
+                "I-7F3A91C2",
+                "Zone A/42",
+                "books_1.north@vm",
+                "\u00E9t\u00E9-\u20AC",
+                "x".repeat(200),
+            )) {
                 strictTarget(name).use { target ->
                     GatewayTestbed().use { testbed ->
                         testbed.config(1)
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
@@ -27,6 +27,7 @@
 import org.anvilshed.gateway.GatewayMetrics
 import org.anvilshed.gateway.GatewaySettings
 import org.anvilshed.gateway.ListenSettings
+import org.anvilshed.gateway.MonotonicClock
 import org.anvilshed.gateway.RequestHeaderNames
 import org.anvilshed.gateway.StoreDecoders
 import org.anvilshed.gateway.store.ContentVersion
@@ -117,6 +118,7 @@
     private val vertx: Vertx = Vertx.vertx(),
     start: Boolean = true,
     stopTimeout: Duration = 3.seconds,
+    clock: MonotonicClock = systemClock,
 ) : AutoCloseable {
     val settings = GatewaySettings(
         name = VmName(name),
@@ -145,7 +147,7 @@
         vertx.dispatcher() + SupervisorJob() + CoroutineExceptionHandler { _, failure -> failures.add(failure) },
     )
     val gateway =
-        Gateway(vertx, scope, settings, HEADER_NAMES, store, DECODERS, DecisionLog(systemClock), GatewayMetrics())
+        Gateway(vertx, scope, settings, HEADER_NAMES, store, DECODERS, DecisionLog(clock), GatewayMetrics(), clock)
 
     init {
         if (start) onEventLoop { gateway.start() }
