Return or close a target's connection on every way out of an attempt

Cause: what was thrown between taking a connection and the wait for its response, or was no cancellation, neither returned the connection to its pool nor closed it. In the pool, an exception while a new connection is set up kept both the connection and its place in the count.

The attempt now owns its connection from the moment it is taken, and closes it unless its work ends normally. The pool closes a connection that it can't take over, and an exception of the client counts as a failed connect. The request is built before it is marked as sent, so that a failure there is answered with 503.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/requests/RequestForwarder.kt
@@ -2,7 +2,6 @@
 
 import io.vertx.core.MultiMap
 import io.vertx.core.http.HttpHeaders
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 import org.anvilshed.core.MonotonicTime
 import org.anvilshed.core.ServiceName
@@ -222,19 +221,21 @@
                 log.request("target-unreachable", "id" to request.target.id, "target" to send.target.key.name)
                 return AttemptResult.NotSent
             }
-            // All of this may have changed while the connection was opened.
-            val isWorthSending = endsBeforeStop(queue, request) && !hasExpired(request)
-            if (!isWorthSending || !queue.pool.mayReceive(send.target, clock())) {
-                connections.release(send.target.key, connection)
-                return AttemptResult.NotSent
-            }
-            if (isSuspended(request)) {
-                connections.release(send.target.key, connection)
-                return AttemptResult.Final(crashesTargets())
+            return closingOnFailure(connection) {
+                // All of this may have changed while the connection was opened.
+                val isWorthSending = endsBeforeStop(queue, request) && !hasExpired(request)
+                if (!isWorthSending || !queue.pool.mayReceive(send.target, clock())) {
+                    connections.release(send.target.key, connection)
+                    AttemptResult.NotSent
+                } else if (isSuspended(request)) {
+                    connections.release(send.target.key, connection)
+                    AttemptResult.Final(crashesTargets())
+                } else {
+                    val (result, exchangeOutcome) = exchange(queue, request, send, connection)
+                    outcome = exchangeOutcome
+                    result
+                }
             }
-            val (result, exchangeOutcome) = exchange(queue, request, send, connection)
-            outcome = exchangeOutcome
-            return result
         } finally {
             settle(queue, send, outcome)
         }
@@ -245,12 +246,35 @@
         queue.dispatch()
     }
 
+    /**
+     * Returns the result of [work], which returns [connection] to the pool or closes it. If [work] is cancelled or
+     * fails, the connection is closed, which tells the target to abandon the request.
+     */
+    private inline fun <T> closingOnFailure(connection: TargetConnection, work: () -> T): T {
+        var hasSucceeded = false
+        try {
+            return work().also { hasSucceeded = true }
+        } finally {
+            if (!hasSucceeded) connection.close()
+        }
+    }
+
     private suspend fun exchange(
         queue: ServiceQueue,
         request: ForwardedRequest,
         send: Placement.Send,
         connection: TargetConnection,
     ): Pair<AttemptResult, TargetOutcome> {
+        val exchange = TargetExchange(
+            connection = connection,
+            request = withTargetHeaders(request, send),
+            headerNames = headerNames,
+            responseMemory = request.responseMemory,
+            onRateLimit = { recordRateLimit(queue, request, send, it) },
+            onLeaving = { onTargetLeaving(send.target) },
+            onPause = { recordPause(queue, request, send, it) },
+            onFault = { recordFault(request, send, it) },
+        )
         request.sendCount++
         request.lastTarget = send.target.key.name
         request.lastZone = send.target.zone.value
@@ -263,16 +287,6 @@
         request.mayHaveRun = true
         request.isAtTarget = true
         metrics.countSend(send.inFlight.rateLimitAtSend != null, send.cold)
-        val exchange = TargetExchange(
-            connection = connection,
-            request = withTargetHeaders(request, send),
-            headerNames = headerNames,
-            responseMemory = request.responseMemory,
-            onRateLimit = { recordRateLimit(queue, request, send, it) },
-            onLeaving = { onTargetLeaving(send.target) },
-            onPause = { recordPause(queue, request, send, it) },
-            onFault = { recordFault(request, send, it) },
-        )
         try {
             val result = awaitResult(queue, request, send, exchange)
             request.lastStatusLine = statusLineOrNull(result)
@@ -281,10 +295,6 @@
             // A connection with an unread rest of a response can't be used again; closing it ends the target's work.
             releaseOrClose(send, exchange, connection)
             return attempt
-        } catch (cancelled: CancellationException) {
-            // Closing the connection tells the target to abandon the request.
-            connection.close()
-            throw cancelled
         } finally {
             request.isAtTarget = false
         }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetConnectionPool.kt
@@ -182,10 +182,15 @@
         }
     }
 
-    private fun connect(target: RegisteredTarget, timeout: Duration): Future<HttpClientConnection> = client.connect(
-        HttpConnectOptions().setHost(target.address.host).setPort(target.address.port)
-            .setConnectTimeout(timeout.inWholeMilliseconds),
-    )
+    /** Opens a connection; the result is failed if the client throws an exception. */
+    @Suppress("TooGenericExceptionCaught")
+    private fun connect(target: RegisteredTarget, timeout: Duration): Future<HttpClientConnection> = try {
+        val options = HttpConnectOptions().setHost(target.address.host).setPort(target.address.port)
+            .setConnectTimeout(timeout.inWholeMilliseconds)
+        client.connect(options)
+    } catch (fault: RuntimeException) {
+        Future.failedFuture(fault)
+    }
 
     private fun reportFailure(target: RegisteredTarget, cause: Throwable) {
         log.request("target-connect-failed", "target" to target.key.name, "cause" to cause)
@@ -193,39 +198,49 @@
     }
 
     private suspend fun openOrNull(target: RegisteredTarget, timeout: Duration): TargetConnection? {
-        openCounts.merge(target.key, 1, Int::plus)
         val startedAt = clock()
+        openCounts.merge(target.key, 1, Int::plus)
         val opening = connect(target, timeout)
-        var connection: HttpClientConnection? = null
+        var opened: HttpClientConnection? = null
         try {
-            connection = withTimeoutOrNull(timeout) { opening.coAwait() }
+            opened = withTimeoutOrNull(timeout) { opening.coAwait() }
         } catch (failure: IOException) {
             reportFailure(target, failure)
         } catch (failure: VertxException) {
             log.request("target-connect-failed", "target" to target.key.name, "cause" to failure)
         } finally {
             // Also reached by cancellation; a connection that is established after that is closed at once.
-            if (connection == null) {
+            if (opened == null) {
                 decrementOpenCount(target.key)
                 opening.onSuccess { it.close() }
             }
         }
-        return connection?.let { register(target, it, startedAt) }
+        return opened?.let { register(target, it, startedAt) }
     }
 
+    /** Takes over [connection], which was counted as open; it is closed if that fails. */
     private fun register(
         target: RegisteredTarget,
         connection: HttpClientConnection,
         startedAt: MonotonicTime,
     ): TargetConnection {
-        onOpened(target, clock() - startedAt)
-        val result = TargetConnection(connection, ++openedCount) { onStrayBytes(target, it) }
-        connection.closeHandler {
-            result.isOpen = false
-            idleConnections[target.key]?.remove(result)
-            decrementOpenCount(target.key)
+        var registered: TargetConnection? = null
+        try {
+            onOpened(target, clock() - startedAt)
+            val result = TargetConnection(connection, ++openedCount) { onStrayBytes(target, it) }
+            connection.closeHandler {
+                result.isOpen = false
+                idleConnections[target.key]?.remove(result)
+                decrementOpenCount(target.key)
+            }
+            registered = result
+            return result
+        } finally {
+            if (registered == null) {
+                decrementOpenCount(target.key)
+                connection.closeImmediately()
+            }
         }
-        return result
     }
 
     private fun decrementOpenCount(key: TargetKey) {
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayUnexpectedFaultTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayUnexpectedFaultTest.kt
@@ -9,6 +9,7 @@
 import org.anvilshed.gateway.testbed.CallerResponse
 import org.anvilshed.gateway.testbed.FaultyClock
 import org.anvilshed.gateway.testbed.GatewayTestbed
+import org.anvilshed.gateway.testbed.GatewayTestbed.Companion.await
 import org.anvilshed.gateway.testbed.ReceivedRequest
 import org.anvilshed.gateway.testbed.ScriptedTarget
 import java.net.Socket
@@ -20,6 +21,9 @@
 /** More than the calls of the clock that one request makes. */
 private const val MAXIMUM_CALLS = 300
 
+/** Slots of a target of the testbed, each of which may have an idle connection. */
+private const val SLOTS = 4
+
 private val targetBehaviours = mapOf<String, (ReceivedRequest, Socket) -> Unit>(
     "responds" to { request, socket -> ScriptedTarget.respond(socket, request) },
     "fails" to { request, socket -> ScriptedTarget.respond(socket, request, "500 Internal Server Error") },
@@ -79,5 +83,23 @@
                     }
                 }
             }
+
+            // Guards against a target that gets no more requests because the connections of failed ones count as open.
+            test("a fault anywhere in the work of a request keeps no connection, if the target $behaviour") {
+                val clock = FaultyClock()
+                ScriptedTarget(respond).use { target ->
+                    GatewayTestbed(clock = clock::now).use { testbed ->
+                        testbed.config(1)
+                        testbed.target("target", target)
+                        testbed.awaitReady()
+                        for (calls in 0 until MAXIMUM_CALLS) {
+                            clock.failAfter(calls)
+                            testbed.callOrClosed("/safe/", "id-$calls", "GET")
+                            if (!clock.hasFailed) break
+                        }
+                        await { target.openConnections <= SLOTS }
+                    }
+                }
+            }
         }
     })
