Survive unexpected exceptions beside requests, and copies of peers in another form

A copy is now read field by field, and one of another form is no copy. The catch-up and the withdrawal record a fault (`work-failed`).

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -153,7 +153,14 @@
         )
     private val announcements =
         AnnouncementExchange({ this.settings }, entryVms, System.currentTimeMillis(), log, socket::send)
-    private val catchUp = FeedCatchUp(scope, feeds.byKind, snapshots::fetchOrNull, { feeds.configVersion }, log)
+    private val catchUp = FeedCatchUp(
+        scope = scope,
+        feeds = feeds.byKind,
+        fetchOrNull = snapshots::fetchOrNull,
+        onFault = { recordFault("catch-up", it) },
+        configVersion = { feeds.configVersion },
+        log = log,
+    )
     private val probe = StoreProbe(
         store,
         feeds.byKind.values,
@@ -229,7 +236,7 @@
         stopDeadline = StopDeadline(stopAt)
         log.info("leaving", "active_requests" to handler.activeCount, "connections" to callers.connectionCount)
         announceNow()
-        scope.launch { registration.withdraw() }
+        scope.launch { runOnce("withdrawal") { registration.withdraw() } }
         while (clock() < servesUntil && clock() < stopAt) delay(STOP_POLL_PERIOD)
         // Callers with outdated lookup answers would otherwise keep this VM busy until it is killed.
         callers.stopAccepting()
@@ -245,17 +252,22 @@
     /** Runs [work], which ends only with the process, and starts it again after an unexpected exception. */
     private fun keepRunning(name: String, work: suspend () -> Unit) = scope.launch {
         while (true) {
-            try {
-                work()
-            } catch (cancelled: CancellationException) {
-                throw cancelled
-            } catch (@Suppress("TooGenericExceptionCaught") fault: Exception) {
-                recordFault(name, fault)
-            }
+            runOnce(name, work)
             delay(RESTART_DELAY)
         }
     }
 
+    /** Runs [work] and records an unexpected exception that ends it. */
+    private suspend fun runOnce(name: String, work: suspend () -> Unit) {
+        try {
+            work()
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (@Suppress("TooGenericExceptionCaught") fault: Exception) {
+            recordFault(name, fault)
+        }
+    }
+
     private fun recordFault(work: String, fault: Throwable) {
         metrics.countUnexpectedFault()
         log.warning("work-failed", "work" to work, "cause" to fault.stackTraceToString())
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/FeedCatchUp.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/FeedCatchUp.kt
@@ -1,5 +1,6 @@
 package org.anvilshed.gateway.peers
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -19,12 +20,14 @@
  * newer config than the store, which only its version shows.
  *
  * @param fetchOrNull returns the objects of a kind that the VM at an address has, or `null` without a response in time.
+ * @param onFault called with each unexpected exception that ended a catch-up.
  * @param configVersion returns the version of the config in force, or [AnnouncedStore.NO_CONFIG].
  */
 internal class FeedCatchUp(
     private val scope: CoroutineScope,
     private val feeds: Map<StoreKind, StoreFeed>,
     private val fetchOrNull: suspend (SocketAddress, StoreKind) -> StoreListing?,
+    private val onFault: (Throwable) -> Unit,
     private val configVersion: () -> Long,
     private val log: DecisionLog,
 ) {
@@ -55,6 +58,10 @@
                 askedPeers.add(peer.name)
                 if (listing != null) feed.adopt(listing) else log.info("peer-copy-missing", "peer" to peer.name)
             }
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (@Suppress("TooGenericExceptionCaught") fault: Exception) {
+            onFault(fault)
         } finally {
             newerPeers.remove(feed.kind)
         }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerSnapshots.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/peers/PeerSnapshots.kt
@@ -56,7 +56,7 @@
         withTimeoutOrNull(CALL_TIMEOUT) {
             val options = RequestOptions().setMethod(HttpMethod.GET).setHost(control.host).setPort(control.port)
                 .setURI(pathOf(kind)).setConnectTimeout(CALL_TIMEOUT.inWholeMilliseconds)
-            client.call(options).takeIf { it.status == OK }?.let { decode(it.body) }
+            client.call(options).takeIf { it.status == OK }?.let { decodeOrNull(it.body) }
         }
     } catch (_: IOException) {
         null
@@ -64,10 +64,6 @@
         null
     } catch (_: TimeoutException) {
         null
-    } catch (_: DecodeException) {
-        null
-    } catch (_: ClassCastException) {
-        null
     }
 
     private fun pathOf(kind: StoreKind): String = "/v1/objects/${kind.name.lowercase()}"
@@ -84,15 +80,27 @@
         JsonObject().put("revision", revision.number).put("era", revision.era)
 
     /** Builds that know no eras send none. */
-    private fun decodeRevision(json: JsonObject) = StoreRevision(json.getLong("era", 0), json.getLong("revision"))
+    private fun decodeRevisionOrNull(json: JsonObject): StoreRevision? {
+        val number = json.getValue("revision") as? Number ?: return null
+        return StoreRevision((json.getValue("era") as? Number ?: 0).toLong(), number.toLong())
+    }
 
-    private fun decode(body: Buffer): StoreListing {
-        val json = body.toJsonObject()
-        val objects = json.getJsonArray("objects").map { item ->
-            val entry = item as JsonObject
-            StoreObject(entry.getString("name"), decodeRevision(entry), entry.getJsonObject("content"))
+    private fun decodeOrNull(body: Buffer): StoreListing? {
+        val json = try {
+            body.toJsonObject()
+        } catch (_: DecodeException) {
+            return null
         }
-        return StoreListing(objects, decodeRevision(json))
+        val revision = decodeRevisionOrNull(json) ?: return null
+        val items = json.getValue("objects") as? JsonArray ?: return null
+        return StoreListing(items.map { decodeObjectOrNull(it) ?: return null }, revision)
+    }
+
+    private fun decodeObjectOrNull(item: Any?): StoreObject? {
+        val entry = item as? JsonObject ?: return null
+        val name = entry.getValue("name") as? String ?: return null
+        val revision = decodeRevisionOrNull(entry) ?: return null
+        return StoreObject(name, revision, entry.getValue("content") as? JsonObject)
     }
 
     companion object {
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/peers/FeedCatchUpTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/peers/FeedCatchUpTest.kt
@@ -58,6 +58,7 @@
                 val catchUp = FeedCatchUp(
                     scope = this,
                     feeds = mapOf(StoreKind.TARGETS to feed),
+                    onFault = { throw it },
                     fetchOrNull = { control, _ ->
                         if (control.host.startsWith("silent")) {
                             delay(PeerSnapshots.CALL_TIMEOUT)
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/peers/PeerSnapshotsTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/peers/PeerSnapshotsTest.kt
@@ -44,6 +44,30 @@
         val invalidResponses = listOf("HHTTP/1.1 200 OK\r\n\r\n") +
             listOf("000", "099", "600", "20", "2000", "abc").map { "HTTP/1.1 $it OK\r\n$framed" } +
             listOf(" X-Odd: v", " ", "X Odd: v", "X-Odd : v", "X-\u0001Odd: v").map { "$ok$it\r\n$framed" }
+        // Guards against an exception that nobody expects and that ends the catch-up with all peers.
+        test("a copy of another form is no copy, and does not throw") {
+            val bodies = listOf(
+                "", "[]", "{}", "null", """{"revision":20}""", """{"objects":[]}""", """{"revision":"20","objects":[]}""",
+                """{"revision":20,"objects":{}}""", """{"revision":20,"objects":[1]}""",
+                """{"revision":20,"objects":[{"name":"a"}]}""", """{"revision":20,"objects":[{"revision":1}]}""",
+                """{"revision":20,"objects":[{"name":1,"revision":1}]}""",
+                """{"revision":20,"objects":[{"name":"a","revision":{}}]}""", "[".repeat(3_000),
+            )
+            for (body in bodies) {
+                ScriptedTarget { _, socket ->
+                    ScriptedTarget.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n$body")
+                }.use { peer ->
+                    val vertx = Vertx.vertx()
+                    val snapshots = PeerSnapshots(vertx, emptyMap())
+                    val address = SocketAddress("127.0.0.1", peer.port)
+                    runBlocking(vertx.dispatcher()) {
+                        withClue(body.take(100)) { snapshots.fetchOrNull(address, StoreKind.TARGETS) shouldBe null }
+                    }
+                    vertx.close()
+                }
+            }
+        }
+
         test("a response that is not valid HTTP is no copy, and does not throw") {
             for (response in invalidResponses) {
                 ScriptedTarget { _, socket -> ScriptedTarget.write(socket, response) }.use { peer ->
