Daemon: answer a request whose work ends with an unexpected exception

An exception now ends the request of a caller with 500 and the new reason `internal-fault`, whose outcome is unknown, or breaks off a response that has begun. A peer sees the end of the stream, as before. Both are logged and counted in anvilshed_unexpected_faults. A slot that was taken is released on every way out of an attempt and of the queue.

--- a/daemon/src/main/kotlin/org/anvilshed/daemon/http/CallerSink.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/http/CallerSink.kt
@@ -7,6 +7,7 @@
 import io.vertx.core.http.impl.HttpServerConnection
 import io.vertx.core.json.JsonObject
 import io.vertx.kotlin.coroutines.coAwait
+import kotlinx.coroutines.CancellationException
 import org.anvilshed.core.RefusalReason
 import org.anvilshed.core.UnknownReason
 import org.anvilshed.core.VmName
@@ -77,6 +78,18 @@
         }
     }
 
+    /** Ends the response after an unexpected exception, at which the request may have run. */
+    suspend fun finishAfterFault() {
+        if (response.ended()) return
+        try {
+            if (response.headWritten()) resetConnection() else finish(ServeResult.Unknown(UnknownReason.INTERNAL_FAULT))
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (@Suppress("TooGenericExceptionCaught") _: Exception) {
+            resetConnection()
+        }
+    }
+
     /** Resets the connection, so that the caller can't take an incomplete response for a complete one. */
     private fun resetConnection() {
         val channel = (request.connection() as HttpServerConnection).channelHandlerContext().channel()
@@ -124,5 +137,7 @@
     UnknownReason.ANSWER_NOT_RETAINED,
     -> 409
 
+    UnknownReason.INTERNAL_FAULT -> 500
+
     else -> 504
 }
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/http/ServiceRoute.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/http/ServiceRoute.kt
@@ -1,8 +1,10 @@
 package org.anvilshed.daemon.http
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.http.HttpServerRequest
 import io.vertx.ext.web.RoutingContext
 import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
@@ -13,6 +15,7 @@
 import org.anvilshed.daemon.request.StreamBody
 import org.anvilshed.daemon.request.endToEndRequestHeaders
 
+private val logger = KotlinLogging.logger {}
 internal const val SERVICES_PREFIX = "/v1/services/"
 
 /** Serves requests of callers to `/v1/services/<service>/<path>` with any method. */
@@ -38,8 +41,15 @@
         // The handler runs when the connection is closed before the response has ended.
         request.response().closeHandler { job?.cancel() }
         job = scope.launch(shared.vertx.dispatcher(), CoroutineStart.UNDISPATCHED) {
+            val sink = CallerSink(request, shared.local.name, drain::isLeaving)
             try {
-                serve(request, body)
+                serve(request, body, sink)
+            } catch (cancelled: CancellationException) {
+                throw cancelled
+            } catch (@Suppress("TooGenericExceptionCaught") fault: Throwable) {
+                shared.metrics.recordUnexpectedFault()
+                logger.error(fault) { "unexpected exception while a request of a caller was served" }
+                sink.finishAfterFault()
             } finally {
                 drain.end()
                 body.discard()
@@ -47,9 +57,8 @@
         }
     }
 
-    private suspend fun serve(request: HttpServerRequest, body: StreamBody) {
+    private suspend fun serve(request: HttpServerRequest, body: StreamBody, sink: CallerSink) {
         val incoming = incomingOf(request, body)
-        val sink = CallerSink(request, shared.local.name, drain::isLeaving)
         val result = requests.serve(incoming, sink)
         shared.metrics.recordRequest(result, clock.now() - incoming.arrivedAt)
         sink.finish(result)
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/limits/ServiceQueues.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/limits/ServiceQueues.kt
@@ -1,6 +1,5 @@
 package org.anvilshed.daemon.limits
 
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
 import org.anvilshed.core.MonotonicTime
@@ -42,10 +41,7 @@
         return when (result) {
             is OfferResult.Refused -> QueueOutcome.Removed(result.reason, result.retryAfter)
 
-            is OfferResult.Queued -> {
-                if (serveImmediately) serveNext(service)
-                await(service, result.ticket)
-            }
+            is OfferResult.Queued -> await(service, result.ticket, serveImmediately)
         }
     }
 
@@ -55,11 +51,15 @@
         while (queue.size > 0) {
             completeRemoved(queue.expire(clock.now()))
             val target = takeTarget(service) ?: return
-            val polled = queue.poll(clock.now())
-            completeRemoved(polled.removed)
-            val granted = polled.next?.request?.outcome?.complete(QueueOutcome.Granted(target)) == true
-            if (!granted) target.complete()
-            if (polled.next == null) return
+            var isGranted = false
+            try {
+                val polled = queue.poll(clock.now())
+                completeRemoved(polled.removed)
+                isGranted = polled.next?.request?.outcome?.complete(QueueOutcome.Granted(target)) == true
+                if (polled.next == null) return
+            } finally {
+                if (!isGranted) target.complete()
+            }
         }
     }
 
@@ -68,17 +68,23 @@
         for (runtime in runtimes.all) if (runtime.queue.size > 0) serveNext(runtime.name)
     }
 
-    private suspend fun await(service: ServiceName, ticket: QueueTicket<QueuedRequest>): QueueOutcome {
+    private suspend fun await(
+        service: ServiceName,
+        ticket: QueueTicket<QueuedRequest>,
+        serveImmediately: Boolean,
+    ): QueueOutcome {
         val outcome = ticket.request.outcome
         try {
+            if (serveImmediately) serveNext(service)
             return outcome.await()
-        } catch (cancelled: CancellationException) {
+        } catch (@Suppress("TooGenericExceptionCaught") failure: Throwable) {
+            // Nobody would use a slot that is granted to the request later.
             runtimes.getValue(service).queue.cancel(ticket)
             if (!outcome.complete(QueueOutcome.Removed(RefusalReason.CANCELLED, retryAfter = null))) {
                 val granted = withContext(NonCancellable) { outcome.await() } as? QueueOutcome.Granted
                 granted?.target?.complete()
             }
-            throw cancelled
+            throw failure
         }
     }
 
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/metrics/DaemonMetrics.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/metrics/DaemonMetrics.kt
@@ -29,6 +29,8 @@
     private val platformFailures = counter("anvilshed_platform_failures", "Failed calls of the platform.")
     private val strayBytes =
         counter("anvilshed_stray_bytes", "Connections closed for bytes outside a response, by server.", "server")
+    private val unexpectedFaults =
+        counter("anvilshed_unexpected_faults", "Unexpected exceptions in the work of requests.")
     private val latency = Histogram.builder()
         .name("anvilshed_request_seconds")
         .help("Time from the arrival of a caller's request to its end.")
@@ -68,6 +70,9 @@
     fun recordPlatformFailure(): Unit = platformFailures.inc()
 
     /** Records that a connection was closed because [server] wrote bytes outside a response. */
+    /** Records an unexpected exception in the work of a request. */
+    fun recordUnexpectedFault(): Unit = unexpectedFaults.inc()
+
     fun recordStrayBytes(server: String): Unit = strayBytes.labelValues(server).inc()
 
     /** Registers a gauge; [value] is called at each scrape. */
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/PeerRequestHandler.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/PeerRequestHandler.kt
@@ -1,8 +1,10 @@
 package org.anvilshed.daemon.request
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.Context
 import io.vertx.core.buffer.Buffer
 import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.anvilshed.core.RefusalReason
@@ -19,6 +21,8 @@
 import org.anvilshed.wire.peer.RequestStart
 import java.util.concurrent.atomic.AtomicInteger
 
+private val logger = KotlinLogging.logger {}
+
 /**
  * Serves requests that peers forward; distributes them over the event loops of [contexts].
  *
@@ -48,6 +52,12 @@
             }
             try {
                 serve(link, stream, incomingOf(link, stream, start, arrivedAt))
+            } catch (cancelled: CancellationException) {
+                throw cancelled
+            } catch (@Suppress("TooGenericExceptionCaught") fault: Throwable) {
+                // The end of the stream tells the peer that the request may have run.
+                metrics.recordUnexpectedFault()
+                logger.error(fault) { "unexpected exception while a request of a peer was served" }
             } finally {
                 drain.end()
                 stream.cancel()
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/request/TargetAttempt.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/request/TargetAttempt.kt
@@ -88,8 +88,8 @@
     private var bodyFault: UnknownReason? = null
 
     suspend fun run(): AttemptResult {
-        val started = clock.now()
         try {
+            val started = clock.now()
             val result = withTimeoutOrNull(clock.remaining(request.deadline)) { exchange() } ?: timedOut()
             if (responseComplete && result is AttemptResult.Ended) {
                 val latency = clock.now() - started
--- a/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/Testbed.kt
+++ b/daemon/src/test/kotlin/org/anvilshed/daemon/testbed/Testbed.kt
@@ -13,6 +13,8 @@
 import io.vertx.ext.web.client.WebClientOptions
 import io.vertx.kotlin.coroutines.coAwait
 import org.anvilshed.daemon.Daemon
+import org.anvilshed.daemon.DaemonClock
+import org.anvilshed.daemon.SystemClock
 import org.anvilshed.daemon.settings.SettingsResult
 import org.anvilshed.daemon.settings.readSettings
 import kotlin.time.Duration.Companion.seconds
@@ -48,9 +50,14 @@
     }
 
     /** Starts the daemon [name] in [zone], with the daemons that were started before as its peers. */
-    suspend fun startDaemon(name: String, zone: TestZone, extra: String = ""): Daemon {
+    suspend fun startDaemon(
+        name: String,
+        zone: TestZone,
+        extra: String = "",
+        clock: DaemonClock = SystemClock,
+    ): Daemon {
         val settings = readSettings(settingsOf(name, zone, extra))
-        val daemon = Daemon.start((settings as? SettingsResult.Valid ?: error(settings.toString())).settings)
+        val daemon = Daemon.start((settings as? SettingsResult.Valid ?: error(settings.toString())).settings, clock)
         daemons[name] = daemon
         return daemon
     }
