Order the reports of a target by what it states, not by when the store performs them

Cause: within an era of the store, KnownObjects took the higher revision for the newer content. "A call that receives no response may have been executed, or may be executed seconds later" (PROTOCOL): an older report that is performed late gets a higher revision. The same order let such a report bring back a target whose entry had been removed, send requests to the address of a former process of the name, and replace a newer config in the copies for peers.

KnownObjects now decides by the content for every way in: events, listings, copies of peers, within and across eras. - `draining` is final for one lifetime (`born`), whatever `seq` is. - Otherwise a higher lifetime is newer, and within a lifetime a higher `seq`. - A content that may be older is held for four report intervals: a lower lifetime, a lower `seq`, or a return of the same lifetime within 10 s after a removal without an outage. A live target overwrites an older report with its next one, and the entry of a dead one expires after three intervals. If the store still has the content then, nobody else did write: it is that of a new process whose clock was set back, of a target whose entry had expired, or the first one after a `seq` that another writer invented. - An entry that expired in an outage returns with the next report at once, as before. - Configs of a lower version are dropped. Evacuations state no order, so the revision decides there.

What is held is passed on to peers behind what is in effect. Log: feed-content-held and -dropped with both versions, feed-held-taken; target-changed has the version of the entry. Removals are forgotten after a minute also without a new listing, before they stayed until one.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/FleetFeeds.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/FleetFeeds.kt
@@ -17,6 +17,7 @@
 import org.anvilshed.gateway.store.StoreObject
 import org.anvilshed.gateway.store.StoreRevision
 import org.anvilshed.gateway.targets.targetNameFieldOrNull
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -35,6 +36,7 @@
 /**
  * Keeps the active config, the registered targets and the evacuated zones up to date from the store.
  *
+ * @param reportPeriod returns the interval at which targets renew their entries.
  * @param onConfigChanged called after another config became active.
  * @param onTargetsChanged called after targets or evacuations changed.
  */
@@ -46,6 +48,7 @@
     private val contact: StoreContact,
     private val log: DecisionLog,
     private val clock: MonotonicClock,
+    private val reportPeriod: () -> Duration,
     private val onConfigChanged: () -> Unit,
     private val onTargetsChanged: () -> Unit,
 ) {
@@ -55,7 +58,9 @@
         StoreKind.TARGETS to TargetListener(),
         StoreKind.EVACUATIONS to EvacuationListener(),
     ).mapValues { (kind, listener) ->
-        StoreFeed(kind, store, listener, { decoders.contentVersion(kind, it) }, contact, log, clock)
+        // Only targets report again and again. A config of a lower version is never newer.
+        val holdTime = { if (kind == StoreKind.TARGETS) reportPeriod() * HOLD_PERIODS else Duration.INFINITE }
+        StoreFeed(kind, store, listener, holdTime, { decoders.contentVersion(kind, it) }, contact, log, clock)
     }
 
     /** Whether all targets were received at least once. */
@@ -73,6 +78,9 @@
         responseAge = contact.latestOwnResponse?.let { clock() - it },
     )
 
+    /** Puts contents of objects into effect that were held long enough because they might be outdated. */
+    fun takeHeld(): Unit = byKind.values.forEach { it.takeHeld() }
+
     /** Lists the objects of all kinds again if the store was found to be restored from an older copy. */
     fun checkEra(): Unit = byKind.values.forEach { it.checkEra() }
 
@@ -124,6 +132,8 @@
                     "target-changed",
                     "name" to event.changed.name,
                     "removed" to event.removed,
+                    "started_at" to target?.key?.startedAtMillis,
+                    "version" to decoders.contentVersion(StoreKind.TARGETS, event.changed),
                     "draining" to target?.draining,
                     "zone" to target?.zone?.value,
                     "revision" to event.changed.revision,
@@ -170,6 +180,9 @@
     }
 
     private companion object {
+        /** An entry expires after three periods without a report; the news of that takes less than another one. */
+        const val HOLD_PERIODS = 4
+
         /** Used if an evacuation ends before the first config was received. */
         val DEFAULT_COLD_DURATION = 5.seconds
     }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/Gateway.kt
@@ -98,6 +98,7 @@
         contact = contact,
         log = log,
         clock = clock,
+        reportPeriod = { this.settings.reportPeriod },
         onConfigChanged = { refreshPolicies(clock()) },
         onTargetsChanged = { refreshTargets(clock()) },
     )
@@ -316,6 +317,7 @@
         // Silent VMs stop to count without an announcement.
         isAnnouncedLoadStale = true
         feeds.checkEra()
+        feeds.takeHeld()
         refreshPolicies(now)
         crashes.expire(now)
         connections.closeUnused(directory.targets.mapTo(HashSet()) { it.key }, now)
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/KnownObjects.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/KnownObjects.kt
@@ -4,105 +4,208 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
+/** What [KnownObjects] did with a content or a removal that it received. */
+internal enum class Reception {
+    /** It is in effect. */
+    TAKEN,
+
+    /** It may be older than what is known, and is in effect only if the store still has it after some time. */
+    HELD,
+
+    /** It is older than what is known. */
+    DROPPED,
+}
+
 /**
- * Objects of one kind as a VM knows them, which may be newer than those of a store that was restored from an older
- * copy. Not thread-safe.
+ * Objects of one kind as a VM knows them. Decides, for every way in which contents arrive, which of two contents of an
+ * object is newer. Not thread-safe.
+ *
+ * The store may perform a write long after it was sent, and then assigns a high revision to an old content; a store
+ * that was restored from an older copy shows old contents as well. So the contents say themselves which one is newer, as
+ * far as their writers count. The revision decides between contents that do not say it.
  *
- * Within an era of the store, the revision says which content of an object is newer. Across eras the content says it
- * itself, as far as its writer counts; content that does not say it is taken from the later era.
+ * A content that may be older is held back: a live writer replaces the older content with its next report, and the
+ * content of a writer that has ended expires, both sooner than [holdTime]. What is still in the store then is in effect.
  *
  * @param keepsLost whether objects that a restored store lacks remain known.
+ * @param holdTime returns how long a content that may be older is held; longer than a content without reports remains
+ *   in the store. If it is infinite, such a content is dropped.
  * @param versionOf returns the version of a content, or `null` if the content does not state it.
  */
-internal class KnownObjects(private val keepsLost: Boolean, private val versionOf: (StoreObject) -> ContentVersion?) {
-    /** Removal at [at] of an object; [last] is its last known content, with a revision of the era of the removal. */
-    private class Removal(val last: StoreObject, val at: MonotonicTime)
+internal class KnownObjects(
+    private val keepsLost: Boolean,
+    private val holdTime: () -> Duration,
+    private val versionOf: (StoreObject) -> ContentVersion?,
+) {
+    /**
+     * Removal at [at] of an object.
+     *
+     * @property last its last known content, with the revision of the removal.
+     * @property mayHaveExpired whether its writer may be alive and may only have been unable to renew it.
+     */
+    private class Removal(val last: StoreObject, val mayHaveExpired: Boolean, val at: MonotonicTime)
+
+    private class Held(val content: StoreObject, val since: MonotonicTime)
 
     private val objects = LinkedHashMap<String, StoreObject>()
     private val removed = HashMap<String, Removal>()
+    private val held = LinkedHashMap<String, Held>()
 
-    /** All objects. */
+    /** All objects whose contents are in effect. */
     val values: Collection<StoreObject>
         get() = objects.values
 
-    /** Replaces all objects at [now] by [listing]; keeps the known content where the listing has an older one. */
-    fun replaceAll(listing: StoreListing, now: MonotonicTime) {
+    /** All contents that are in effect, followed by those that are held. */
+    val contents: List<StoreObject>
+        get() = objects.values + held.values.map { it.content }
+
+    /**
+     * Replaces all objects at [now] by [listing]; keeps the known content where the listing has an older one.
+     *
+     * @param mayHaveExpired whether missing objects may have expired because their writers could not reach the store.
+     */
+    fun replaceAll(listing: StoreListing, mayHaveExpired: Boolean, now: MonotonicTime) {
         val known = HashMap(objects)
         objects.clear()
-        for (received in listing.objects) newestOrNull(received, known.remove(received.name))?.let(::put)
+        held.keys.retainAll(listing.objects.mapTo(HashSet()) { it.name })
+        for (received in listing.objects) {
+            known.remove(received.name)?.let { objects[it.name] = it }
+            receive(received, now)
+        }
         for (missing in known.values) {
             // What is missing after a restore was not removed by its writer, but lost.
             val isLost = missing.revision.era < listing.revision.era
             if (!isLost) {
-                remember(missing, now)
+                remember(missing, listing.revision, mayHaveExpired, now)
             } else if (keepsLost) {
                 put(missing)
             }
         }
-        removed.values.removeIf { now - it.at >= REMOVAL_MEMORY }
+        forgetRemovals(now)
     }
 
-    /** Applies [event] at [now]; returns whether it changed anything that is known. */
-    fun apply(event: StoreEvent, now: MonotonicTime): Boolean {
+    /**
+     * Applies [event] at [now].
+     *
+     * @param mayHaveExpired whether a removed object may have expired because its writer could not reach the store.
+     */
+    fun apply(event: StoreEvent, mayHaveExpired: Boolean, now: MonotonicTime): Reception {
         val received = event.changed
-        val known = objects[received.name]
-        if (event.removed) {
-            objects.remove(received.name)
-            remember((known ?: received).copy(revision = received.revision), now)
-            return true
-        }
-        val isNewer = if (known != null && known.revision.era == received.revision.era) {
-            received.revision > known.revision
-        } else {
-            newestOrNull(received, known) === received
-        }
-        if (isNewer) put(received)
-        return isNewer
+        if (!event.removed) return receive(received, now)
+        held.remove(received.name)
+        val known = objects.remove(received.name) ?: lastRemoved(received)
+        remember(known, received.revision, mayHaveExpired, now)
+        return Reception.TAKEN
     }
 
     /** Takes [received] if its content is newer than the known one, whatever its revision; returns whether it is. */
     fun takeNewerContent(received: StoreObject): Boolean {
         val version = versionOf(received) ?: return false
         val known = objects[received.name]?.let(versionOf)
-        if (known != null && version <= known) return false
+        if (known != null && version.compareWith(known) != ContentOrder.NEWER) return false
         put(received)
         return true
     }
 
-    private fun put(item: StoreObject) {
-        objects[item.name] = item
-        removed.remove(item.name)
+    /** Puts the contents into effect that the store still has although they were held for long; returns them. */
+    fun takeHeld(now: MonotonicTime): List<StoreObject> {
+        forgetRemovals(now)
+        val due = held.values.filter { now - it.since >= holdTime() }.map { it.content }
+        due.forEach(::put)
+        return due
     }
 
-    private fun remember(item: StoreObject, now: MonotonicTime) {
-        removed[item.name] = Removal(item, now)
+    /** Returns the version of the known content of [name], or of its last one if it was removed. */
+    fun versionOrNull(name: String): ContentVersion? = (objects[name] ?: removed[name]?.last)?.let(versionOf)
+
+    private fun receive(received: StoreObject, now: MonotonicTime): Reception {
+        val known = objects[received.name]
+        val removal = removed[received.name]
+        val order = when {
+            known != null -> compare(received, known)
+            removal != null -> compareWithRemoved(received, removal, now)
+            else -> ContentOrder.NEWER
+        }
+        val heldBefore = held.remove(received.name)
+        return when {
+            order == ContentOrder.NEWER -> Reception.TAKEN.also { put(received) }
+
+            order == ContentOrder.UNCLEAR && holdTime().isFinite() ->
+                Reception.HELD.also { held[received.name] = Held(received, heldSince(received, heldBefore) ?: now) }
+
+            else -> Reception.DROPPED
+        }
     }
 
-    /** Returns the newer one of [received] and [known], or `null` if the object was removed after [received]. */
-    private fun newestOrNull(received: StoreObject, known: StoreObject?): StoreObject? {
-        if (known == null) return received.takeUnless(::wasRemovedLater)
-        val isSameEra = received.revision.era == known.revision.era
-        val order = if (isSameEra) null else compareContentsOrNull(received, known)
+    /** Further reports of one writer do not start its time again. */
+    private fun heldSince(received: StoreObject, before: Held?): MonotonicTime? =
+        before?.takeIf { versionOf(it.content)?.lifetime == versionOf(received)?.lifetime }?.since
+
+    private fun compare(received: StoreObject, known: StoreObject): ContentOrder {
+        val version = versionOf(received)
+        val knownVersion = versionOf(known)
+        val isLater = received.revision > known.revision
+        if (version == null || knownVersion == null) {
+            return when {
+                !isLater -> ContentOrder.OLDER
+                knownVersion?.endsLifetime == true -> ContentOrder.UNCLEAR
+                else -> ContentOrder.NEWER
+            }
+        }
+        val order = version.compareWith(knownVersion)
         return when {
-            order != null && order != 0 -> if (order > 0) received else known
-            received.revision.era >= known.revision.era -> received
-            else -> known
+            // Revisions order lifetimes of a name, and changes between which the writer did not count.
+            order == ContentOrder.SAME -> if (isLater) ContentOrder.NEWER else ContentOrder.SAME
+
+            !isLater && version.lifetime != knownVersion.lifetime -> ContentOrder.OLDER
+
+            !isLater && order == ContentOrder.UNCLEAR -> ContentOrder.OLDER
+
+            else -> order
         }
     }
 
-    private fun wasRemovedLater(received: StoreObject): Boolean {
-        val removal = removed[received.name] ?: return false
-        if (received.revision.era <= removal.last.revision.era) return false
-        return compareContentsOrNull(received, removal.last)?.let { it <= 0 } ?: false
+    private fun compareWithRemoved(received: StoreObject, removal: Removal, now: MonotonicTime): ContentOrder {
+        val last = removal.last
+        val version = versionOf(received)
+        val lastVersion = versionOf(last)
+        val order = compare(received, last)
+        val isSameLifetime = version != null && version.lifetime == lastVersion?.lifetime
+        if (order != ContentOrder.NEWER || !isSameLifetime) return order
+        // The last content itself is no sign of a live writer.
+        if (version.sequence == lastVersion.sequence) return ContentOrder.UNCLEAR
+        // A writer that lives writes again after its object expired. One that has left may have a write that is late.
+        val mayBeLate = received.revision.era == last.revision.era &&
+            !removal.mayHaveExpired &&
+            now - removal.at < LATE_WRITE_LIMIT
+        return if (mayBeLate) ContentOrder.UNCLEAR else ContentOrder.NEWER
+    }
+
+    private fun put(item: StoreObject) {
+        objects[item.name] = item
+        removed.remove(item.name)
+        held.remove(item.name)
     }
 
-    private fun compareContentsOrNull(first: StoreObject, second: StoreObject): Int? {
-        val firstVersion = versionOf(first) ?: return null
-        return versionOf(second)?.let(firstVersion::compareTo)
+    /** Returns the newer one of the content of a removed object that was not in effect, and of its last known one. */
+    private fun lastRemoved(received: StoreObject): StoreObject {
+        val last = removed[received.name]?.last ?: return received
+        return if (compare(received, last) == ContentOrder.NEWER) received else last
+    }
+
+    private fun remember(item: StoreObject, revision: StoreRevision, mayHaveExpired: Boolean, now: MonotonicTime) {
+        removed[item.name] = Removal(item.copy(revision = revision), mayHaveExpired, now)
+    }
+
+    private fun forgetRemovals(now: MonotonicTime) {
+        if (removed.isNotEmpty()) removed.values.removeIf { now - it.at >= REMOVAL_MEMORY }
     }
 
     private companion object {
         /** Longer than the time that a restored store may have lost, so that removals in it are still known. */
         val REMOVAL_MEMORY: Duration = 60.seconds
+
+        /** The store performs a write without a response some seconds late at most. */
+        val LATE_WRITE_LIMIT: Duration = 10.seconds
     }
 }
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
@@ -9,6 +9,7 @@
 import org.anvilshed.gateway.DecisionLog
 import org.anvilshed.gateway.MonotonicClock
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -28,6 +29,7 @@
  * an older copy, all objects are listed again, and known content that is newer than the store's stays in the copy.
  * Confined to the thread of the coroutine that calls [run].
  *
+ * @param holdTime returns how long a content is held that may be older than the known one, see [KnownObjects].
  * @param versionOf returns the version of a content, or `null` if the content does not state it.
  * @param contact records the responses of the store; shared by all feeds of a VM.
  */
@@ -35,13 +37,14 @@
     public val kind: StoreKind,
     private val store: ObjectStore,
     private val listener: StoreFeedListener,
-    versionOf: (StoreObject) -> ContentVersion?,
+    holdTime: () -> Duration,
+    private val versionOf: (StoreObject) -> ContentVersion?,
     private val contact: StoreContact,
     private val log: DecisionLog,
     private val clock: MonotonicClock,
 ) {
     // A config stays in force until a newer one is known; the listener decides whether a lost target still exists.
-    private val objects = KnownObjects(keepsLost = kind == StoreKind.CONFIG, versionOf)
+    private val objects = KnownObjects(keepsLost = kind == StoreKind.CONFIG, holdTime, versionOf)
     private var watchRevision = StoreRevision.NONE
     private var watchJob: Job? = null
     private var unreachableSince: MonotonicTime? = null
@@ -61,8 +64,11 @@
     public val hasListing: Boolean
         get() = changedRevision != StoreRevision.NONE
 
-    /** Returns the objects as last received. */
-    public fun snapshot(): StoreListing = StoreListing(objects.values.toList(), changedRevision)
+    /**
+     * Returns the objects as last received. An object has two contents if a later one is held; the receiver decides
+     * about both in this order.
+     */
+    public fun snapshot(): StoreListing = StoreListing(objects.contents, changedRevision)
 
     /**
      * Replaces the objects by a peer's [listing] if it is newer, and continues the watch from its revision. Of a
@@ -82,6 +88,16 @@
         }
     }
 
+    /** Puts contents into effect that were held long enough, unless the store is away and can't have replaced them. */
+    public fun takeHeld() {
+        val now = clock()
+        if (contact.mayReturnUntilOrNull(now) != null) return
+        val taken = objects.takeHeld(now)
+        if (taken.isEmpty()) return
+        log.info("feed-held-taken", "kind" to kind, "names" to taken.map { it.name })
+        listener.changed(taken.map { StoreEvent(it, removed = false) }, StoreContinuity.CONTINUOUS)
+    }
+
     /** Lists all objects again if another call has shown that the store was restored since the last listing. */
     public fun checkEra() {
         if (watchRevision == StoreRevision.NONE || watchRevision.era >= store.era) return
@@ -158,27 +174,35 @@
             listAgainAfterRestore(changes.revision.era)
             return StoreResult.Success(Unit)
         }
-        val now = clock()
-        val events = changes.events.filter { objects.apply(it, now) }
-        if (events.size < changes.events.size) {
-            log.info(
-                "feed-events-dropped",
-                "kind" to kind,
-                "count" to changes.events.size - events.size,
-                "revision" to changes.revision,
-                "known" to changedRevision,
-            )
-        }
-        if (events.isNotEmpty()) {
-            changedRevision = maxOf(changedRevision, changes.revision)
-            listener.changed(events, continuity())
-        }
+        if (changes.events.isNotEmpty()) applyChanges(changes)
         watchRevision = maxOf(watchRevision, changes.revision)
         // Changes come in bursts, and each watch response is charged: the pause batches changes that follow shortly.
-        if (events.isNotEmpty()) delay(BATCH_DELAY)
+        if (changes.events.isNotEmpty()) delay(BATCH_DELAY)
         return StoreResult.Success(Unit)
     }
 
+    private fun applyChanges(changes: StoreChanges) {
+        val now = clock()
+        val mayHaveExpired = contact.mayReturnUntilOrNull(now) != null
+        val events = changes.events.filter { event ->
+            val known = objects.versionOrNull(event.changed.name)
+            val reception = objects.apply(event, mayHaveExpired, now)
+            if (reception != Reception.TAKEN) {
+                log.info(
+                    "feed-content-${reception.name.lowercase()}",
+                    "kind" to kind,
+                    "name" to event.changed.name,
+                    "revision" to event.changed.revision,
+                    "version" to versionOf(event.changed),
+                    "known" to known,
+                )
+            }
+            reception == Reception.TAKEN
+        }
+        changedRevision = maxOf(changedRevision, changes.revision)
+        if (events.isNotEmpty()) listener.changed(events, continuity())
+    }
+
     private fun listAgainAfterRestore(era: Long) {
         log.info("store-restored", "kind" to kind, "from" to watchRevision, "era" to era)
         watchRevision = StoreRevision.NONE
@@ -188,7 +212,7 @@
         val isRestored = hasListing && listing.revision.era > changedRevision.era
         val now = clock()
         if (isRestored) contact.recordRestored(now)
-        objects.replaceAll(listing, now)
+        objects.replaceAll(listing, contact.mayReturnUntilOrNull(now) != null, now)
         changedRevision = listing.revision
         watchRevision = listing.revision
         listener.listed(objects.values.toList(), if (isRestored) StoreContinuity.RESTORED else continuity())
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreRevision.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreRevision.kt
@@ -18,17 +18,6 @@
     }
 }
 
-/**
- * Position of one content of an object among all contents that its writer stored under the name, by the content itself.
- * Unlike a revision, it also orders contents from before and after the store was restored.
- *
- * @property lifetime start of the writer that stored the content; 0 if its writer has no such notion.
- * @property sequence position among the contents that this writer stored since its start.
- */
-public data class ContentVersion(public val lifetime: Long, public val sequence: Long) : Comparable<ContentVersion> {
-    override fun compareTo(other: ContentVersion): Int = compareValuesBy(this, other, { it.lifetime }, { it.sequence })
-}
-
 /** How the content of the store follows from what was known of it before. */
 public enum class StoreContinuity {
     /** All changes were seen. */
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRestoredStoreTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/GatewayRestoredStoreTest.kt
@@ -98,7 +98,7 @@
                 await { testbed.call("/safe/").status == 503 }
                 testbed.store.interrupt { testbed.store.restore(copy) }
                 repeatFor(3.seconds) { testbed.call("/safe/").status shouldBe 503 }
-                testbed.target("target", target, sequence = 5)
+                testbed.target("target", target, sequence = 1, startedAt = 2)
                 await(CONFIG_BOUND) { testbed.call("/safe/").status == 200 }
             }
         }
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/peers/FeedCatchUpTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/peers/FeedCatchUpTest.kt
@@ -34,9 +34,8 @@
 
 private fun feed(): StoreFeed {
     val contact = StoreContact { 1.seconds }
-    return StoreFeed(StoreKind.TARGETS, InMemoryStore(), IGNORED, {
-        null
-    }, contact, DecisionLog(systemClock), systemClock)
+    val log = DecisionLog(systemClock)
+    return StoreFeed(StoreKind.TARGETS, InMemoryStore(), IGNORED, { 6.seconds }, { null }, contact, log, systemClock)
         .apply { adopt(StoreListing(emptyList(), StoreRevision(0, 10))) }
 }
 
--- a/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/testbed/GatewayTestbed.kt
@@ -80,8 +80,11 @@
     },
     evacuatedZone = { ZoneName(it.name) },
     contentVersion = { _, stored ->
-        val sequence = stored.content?.getLong("version") ?: stored.content?.getLong("sequence")
-        sequence?.let { ContentVersion(0, it) }
+        val content = stored.content ?: JsonObject()
+        val sequence: Long? = content.getLong("sequence")
+        val endsLifetime = content.getValue("draining") == true
+        content.getLong("version")?.let { ContentVersion(0, it) }
+            ?: sequence?.let { ContentVersion(content.getLong("started_at"), it, endsLifetime) }
     },
 )
 
