Daemon: start work of the control plane again after an unexpected exception

Callers would have been sent to targets that leave, and by an old bundle, for the rest of a process's life: an exception that nobody expected ended the loop that follows the platform, reads the list of VMs or keeps house, without a count.

Each of these loops is now started again after 100 ms, as in the gateway, and the exception is logged and counted.

Loops of shares and links to peers are unchanged.

--- a/daemon/src/main/kotlin/org/anvilshed/daemon/ControlPlane.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/ControlPlane.kt
@@ -1,8 +1,11 @@
 package org.anvilshed.daemon
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.vertx.core.http.HttpClient
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import org.anvilshed.core.bundle.BundleVerifier
@@ -27,6 +30,12 @@
 import org.anvilshed.wire.platform.PlatformClient
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+private val logger = KotlinLogging.logger {}
+
+/** Bounds the load of work that fails again and again. */
+private val RESTART_DELAY = 100.milliseconds
 
 /**
  * Creates and connects the components that decide how requests are steered. All of them run on the control thread.
@@ -105,10 +114,27 @@
     fun start() {
         shared.shares = shares
         shared.settings.peers.forEach { directory.addConfigured(it, clock.now()) }
-        scope.launch { housekeeping.run() }
-        scope.launch { watch.run() }
-        scope.launch { vmList.run() }
-        scope.launch { statusWriter.run() }
+        keepRunning("housekeeping") { housekeeping.run() }
+        keepRunning("platform watch") { watch.run() }
+        keepRunning("VM list") { vmList.run() }
+        keepRunning("status") { statusWriter.run() }
+    }
+
+    /** Runs [work], which ends only with the process, and starts it again after an unexpected exception. */
+    private fun keepRunning(name: String, work: suspend () -> Unit) {
+        scope.launch {
+            while (true) {
+                try {
+                    work()
+                } catch (cancelled: CancellationException) {
+                    throw cancelled
+                } catch (@Suppress("TooGenericExceptionCaught") fault: Exception) {
+                    shared.metrics.recordUnexpectedFault()
+                    logger.error(fault) { "unexpected exception in the work of: $name" }
+                }
+                delay(RESTART_DELAY)
+            }
+        }
     }
 
     /** Announces to the peers at once that this VM is leaving. */
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/metrics/DaemonMetrics.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/metrics/DaemonMetrics.kt
@@ -30,7 +30,10 @@
     private val strayBytes =
         counter("anvilshed_stray_bytes", "Connections closed for bytes outside a response, by server.", "server")
     private val unexpectedFaults =
-        counter("anvilshed_unexpected_faults", "Unexpected exceptions in the work of requests.")
+        counter(
+            "anvilshed_unexpected_faults",
+            "Unexpected exceptions, after which a request was ended or work was started again.",
+        )
     private val latency = Histogram.builder()
         .name("anvilshed_request_seconds")
         .help("Time from the arrival of a caller's request to its end.")
@@ -70,7 +73,7 @@
     fun recordPlatformFailure(): Unit = platformFailures.inc()
 
     /** Records that a connection was closed because [server] wrote bytes outside a response. */
-    /** Records an unexpected exception in the work of a request. */
+    /** Records an unexpected exception in the work of a request, or in work that was started again. */
     fun recordUnexpectedFault(): Unit = unexpectedFaults.inc()
 
     fun recordStrayBytes(server: String): Unit = strayBytes.labelValues(server).inc()
--- a/daemon/src/test/kotlin/org/anvilshed/daemon/UnexpectedFaultTest.kt
+++ b/daemon/src/test/kotlin/org/anvilshed/daemon/UnexpectedFaultTest.kt
@@ -7,6 +7,8 @@
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import io.vertx.core.VertxException
+import io.vertx.core.json.JsonArray
+import io.vertx.core.json.JsonObject
 import org.anvilshed.core.MonotonicTime
 import org.anvilshed.daemon.testbed.TEST_TIMEOUT
 import org.anvilshed.daemon.testbed.TestZone
@@ -19,8 +21,8 @@
 private const val NEVER = -1
 private const val MAXIMUM_CALLS = 100
 
-/** Clock that throws an exception at one of the calls that the work of requests makes. */
-private class FaultyDaemonClock : DaemonClock by SystemClock {
+/** Clock that throws an exception at one of the calls that the code of [packageName] makes. */
+private class FaultyDaemonClock(private val packageName: String) : DaemonClock by SystemClock {
     private val callsBefore = AtomicInteger(NEVER)
 
     val hasFailed: Boolean
@@ -29,13 +31,13 @@
     fun failAfter(calls: Int) = callsBefore.set(calls)
 
     override fun now(): MonotonicTime {
-        val isCounted = !hasFailed && isOnRequestPath()
+        val isCounted = !hasFailed && isOnPath()
         check(!isCounted || callsBefore.getAndUpdate { if (it == 0) NEVER else it - 1 } != 0) { "clock fault" }
         return SystemClock.now()
     }
 
-    private fun isOnRequestPath(): Boolean = StackWalker.getInstance().walk { frames ->
-        frames.anyMatch { it.className.startsWith("org.anvilshed.daemon.request.") }
+    private fun isOnPath(): Boolean = StackWalker.getInstance().walk { frames ->
+        frames.anyMatch { it.className.startsWith(packageName) }
     }
 }
 
@@ -47,7 +49,7 @@
         test("a fault anywhere in the work of a request leaves its caller with a response or a closed connection") {
             val testbed = Testbed(listOf(zone))
             testbed.start()
-            val clock = FaultyDaemonClock()
+            val clock = FaultyDaemonClock("org.anvilshed.daemon.request.")
             val daemon = testbed.startDaemon("nbo-a-vm-1", zone, clock = clock)
             testbed.awaitReady()
             for (isPayout in listOf(false, true)) {
@@ -75,4 +77,26 @@
             }
             testbed.stop()
         }
+
+        // Guards against a VM that follows the platform no longer after an unexpected exception.
+        test("a new bundle and a leaving target come into effect after faults in the work of the control plane") {
+            val testbed = Testbed(listOf(zone), targetsPerZone = 2)
+            testbed.start()
+            val clock = FaultyDaemonClock("org.anvilshed.daemon.control.")
+            val daemon = testbed.startDaemon("nbo-a-vm-1", zone, clock = clock)
+            testbed.awaitReady()
+            for (calls in 0 until 20) {
+                clock.failAfter(calls)
+                eventually(10.seconds) { clock.hasFailed shouldBe true }
+            }
+            testbed.operators.publish(testbed.platform, 2, testbed.bundle(2))
+            eventually(10.seconds) { testbed.status(daemon).getInteger("bundle_version") shouldBe 2 }
+            val leaving = JsonObject().put("name", "nbo-a-target-1").put("role", "target").put("zone", "nbo-a")
+                .put("address", "127.0.0.1:1").put("state", "leaving")
+            testbed.platform.vms = JsonArray().add(leaving)
+            eventually(10.seconds) {
+                repeat(20) { testbed.read(daemon, "/echo").getHeader("Anvilshed-Target") shouldBe "nbo-a-target-2" }
+            }
+            testbed.stop()
+        }
     })
