--- a/gateway/src/test/kotlin/org/anvilshed/gateway/store/KnownObjectsPropertyTest.kt
+++ b/gateway/src/test/kotlin/org/anvilshed/gateway/store/KnownObjectsPropertyTest.kt
@@ -187,7 +187,12 @@
         val content = process.report(cold = if (random.nextInt(10) == 0) random.nextLong(5) else 0)
         if (random.nextInt(10) == 0) {
             lateWrites++
-            store.late.add(SimulatedStore.Write(content, now + STEP * random.nextInt(10, (LONGEST_LATENESS / STEP).toInt())))
+            store.late.add(
+                SimulatedStore.Write(
+                    content,
+                    now + STEP * random.nextInt(10, (LONGEST_LATENESS / STEP).toInt()),
+                ),
+            )
             settledSince = now + LONGEST_LATENESS
         } else {
             store.write(content, now)
@@ -196,7 +201,9 @@
 
     private fun check(isGone: Boolean) {
         val usable = vm.usable
-        withClue("at ${(now - MonotonicTime(0)).inWholeMilliseconds} ms: $usable, left ${vm.left}, process ${process.born}") {
+        withClue(
+            "at ${(now - MonotonicTime(0)).inWholeMilliseconds} ms: $usable, left ${vm.left}, process ${process.born}",
+        ) {
             // No lifetime that the VM knew to drain is used again.
             if (usable != null) (usable.lifetime in vm.left) shouldBe false
             // A live process whose reports have reached the store for long enough is used.
@@ -213,7 +220,9 @@
 class KnownObjectsPropertyTest :
     FunSpec({
         // Guards against targets that are used after they have left, or are never used again, by the order of writes.
-        test("late writes, removals, cuts, restarts and clocks that are set back: targets are used exactly while they live") {
+        test(
+            "late writes, removals, cuts, restarts and clocks that are set back: targets are used exactly while they live",
+        ) {
             var lateWrites = 0
             for (seed in SEEDS) {
                 withClue("seed $seed") {
