Take an entry whose removal is heard late after an outage for one that may have expired

Callers would have had fewer targets for six seconds after an outage at a VM that reaches the store later than others: it hears of the removal of an expired entry after the 2.2 s in which its target had to register again, and would have taken the next report of that target for a late one.

`StoreContact.mayHaveExpired` decides it for removals that are heard of up to 5 s after the return of the store. How long a target is used without its entry is unchanged.

--- a/core/src/main/kotlin/org/anvilshed/core/fleet/StoreContact.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/fleet/StoreContact.kt
@@ -59,6 +59,14 @@
         return if (isOutage) now + RETURN_TIME else returnedAt?.let { it + RETURN_TIME }?.takeIf { it > now }
     }
 
+    /**
+     * Returns whether a registration may have expired because of an outage if its removal is heard of at [now].
+     *
+     * The removal may be heard of later than the target had to register again, if this VM reaches the store later.
+     */
+    public fun mayHaveExpired(now: MonotonicTime): Boolean =
+        mayReturnUntilOrNull(now) != null || returnedAt?.let { now - it < NEWS_TIME } == true
+
     private fun recordEvidence(at: MonotonicTime) {
         val latest = latestResponse
         if (latest != null && at <= latest) return
@@ -78,5 +86,8 @@
          * event takes to arrive.
          */
         public val RETURN_TIME: Duration = 2.seconds + 200.milliseconds
+
+        /** A VM calls the store again within a second after a failure, and a call without a response ends after 2 s. */
+        private val NEWS_TIME = 5.seconds
     }
 }
--- a/core/src/test/kotlin/org/anvilshed/core/fleet/StoreContactTest.kt
+++ b/core/src/test/kotlin/org/anvilshed/core/fleet/StoreContactTest.kt
@@ -34,6 +34,21 @@
             contact.mayReturnUntilOrNull(expiry) shouldBe outageEnd + StoreContact.RETURN_TIME
         }
 
+        // Guards against a target that is taken for one that has left because a VM reaches the store later than others.
+        test(
+            "a removal that is heard of after targets had time to return may still be that of an expired registration",
+        ) {
+            val contact = contact()
+            contact.mayHaveExpired(start + 1.seconds) shouldBe false
+            contact.recordFailure(isSilent = true, start)
+            contact.mayHaveExpired(start + 4.seconds) shouldBe true
+            for (second in 5..8) contact.recordResponseToPeer(start + second.seconds)
+            contact.recordResponse(start + 9.seconds)
+            contact.mayReturnUntilOrNull(start + 9.seconds) shouldBe null
+            contact.mayHaveExpired(start + 9.seconds) shouldBe true
+            contact.mayHaveExpired(start + 10.seconds) shouldBe false
+        }
+
         test("an outage begins with the first error, not with the last response before a quiet time") {
             val contact = contact()
             contact.recordFailure(isSilent = false, start + 9.seconds)
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
@@ -183,7 +183,7 @@
 
     private fun applyChanges(changes: StoreChanges) {
         val now = clock()
-        val mayHaveExpired = contact.mayReturnUntilOrNull(now) != null
+        val mayHaveExpired = contact.mayHaveExpired(now)
         val events = changes.events.filter { event ->
             val known = objects.versionOrNull(event.changed.name)
             val reception = objects.apply(event, mayHaveExpired, now)
@@ -212,7 +212,7 @@
         val isRestored = hasListing && listing.revision.era > changedRevision.era
         val now = clock()
         if (isRestored) contact.recordRestored(now)
-        objects.replaceAll(listing, contact.mayReturnUntilOrNull(now) != null, now)
+        objects.replaceAll(listing, contact.mayHaveExpired(now), now)
         changedRevision = listing.revision
         watchRevision = listing.revision
         listener.listed(objects.values.toList(), if (isRestored) StoreContinuity.RESTORED else continuity())
