Do not take a fault of the gateway for a sign that a request crashes targets

An unexpected exception before the head of a response ended the exchange like a connection that breaks without one, and so counted towards the refusal of requests under which targets end. Found by reading; GatewayUnexpectedFaultTest and GatewayCrashingRequestTest pass, none of them shows the case.

--- a/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/targets/TargetExchange.kt
@@ -214,6 +214,8 @@
             work()
         } catch (fault: Throwable) {
             isResponseReusable = false
+            // An exchange that fails before a response counts as a sign that the request crashes targets.
+            headArrived.complete(Unit)
             broken("unexpected: $fault")
             largeBodyEnded.complete(false)
             connection.close()
