Daemon: keep the reason of an internal fault out of the messages between VMs

The reason `internal-fault` had become a value that peers exchange, although only responses to callers have it. It is now a text of the caller's response alone. UnexpectedFaultTest and WireOuterNamesTest pass.

--- a/core/src/main/kotlin/org/anvilshed/core/UnknownReason.kt
+++ b/core/src/main/kotlin/org/anvilshed/core/UnknownReason.kt
@@ -16,5 +16,4 @@
     ANSWER_NOT_RETAINED("answer-not-retained"),
     BODY_TOO_LARGE("body-too-large"),
     CANCELLED("cancelled"),
-    INTERNAL_FAULT("internal-fault"),
 }
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/http/CallerSink.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/http/CallerSink.kt
@@ -18,6 +18,7 @@
 
 private const val OUTCOME = "Anvilshed-Outcome"
 private const val VIA = "Anvilshed-Via"
+private const val INTERNAL_SERVER_ERROR = 500
 
 /**
  * Sends a response to a caller.
@@ -82,7 +83,12 @@
     suspend fun finishAfterFault() {
         if (response.ended()) return
         try {
-            if (response.headWritten()) resetConnection() else finish(ServeResult.Unknown(UnknownReason.INTERNAL_FAULT))
+            if (response.headWritten()) {
+                resetConnection()
+            } else {
+                // Not an UnknownReason: peers of older builds could not read another one.
+                respond(INTERNAL_SERVER_ERROR, "unknown", "internal-fault", "this entry VM failed", retryAfter = null)
+            }
         } catch (cancelled: CancellationException) {
             throw cancelled
         } catch (@Suppress("TooGenericExceptionCaught") _: Exception) {
@@ -137,7 +143,5 @@
     UnknownReason.ANSWER_NOT_RETAINED,
     -> 409
 
-    UnknownReason.INTERNAL_FAULT -> 500
-
     else -> 504
 }
--- a/daemon/src/main/kotlin/org/anvilshed/daemon/http/ReasonMessages.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/http/ReasonMessages.kt
@@ -43,5 +43,4 @@
     UnknownReason.ANSWER_NOT_RETAINED -> "the request was answered, but its answer was too large to be kept"
     UnknownReason.BODY_TOO_LARGE -> "the body turned out to be too long after the request was sent"
     UnknownReason.CANCELLED -> "the request was cancelled after it was sent"
-    UnknownReason.INTERNAL_FAULT -> "this entry VM failed while it served the request"
 }
