--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/KnownObjects.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/KnownObjects.kt
@@ -48,7 +48,9 @@
     private class Held(val content: StoreObject, val since: MonotonicTime)
 
     private val objects = LinkedHashMap<String, StoreObject>()
-    private val removed = HashMap<String, Removal>()
+
+    /** Removals of each name, one for each lifetime. */
+    private val removed = HashMap<String, MutableList<Removal>>()
     private val held = LinkedHashMap<String, Held>()
 
     /** All objects whose contents are in effect. */
@@ -67,17 +69,19 @@
     fun replaceAll(listing: StoreListing, mayHaveExpired: Boolean, now: MonotonicTime) {
         val known = HashMap(objects)
         objects.clear()
-        held.keys.retainAll(listing.objects.mapTo(HashSet()) { it.name })
+        val listed = listing.objects.mapTo(HashSet()) { it.name }
+        val missingHeld = held.values.map { it.content }.filter { it.name !in listed }
+        held.keys.retainAll(listed)
         for (received in listing.objects) {
             known.remove(received.name)?.let { objects[it.name] = it }
             receive(received, now)
         }
-        for (missing in known.values) {
+        for (missing in missingHeld + known.values) {
             // What is missing after a restore was not removed by its writer, but lost.
             val isLost = missing.revision.era < listing.revision.era
             if (!isLost) {
                 remember(missing, listing.revision, mayHaveExpired, now)
-            } else if (keepsLost) {
+            } else if (keepsLost && missing.name in known) {
                 put(missing)
             }
         }
@@ -92,9 +96,8 @@
     fun apply(event: StoreEvent, mayHaveExpired: Boolean, now: MonotonicTime): Reception {
         val received = event.changed
         if (!event.removed) return receive(received, now)
-        held.remove(received.name)
-        val known = objects.remove(received.name) ?: lastRemoved(received)
-        remember(known, received.revision, mayHaveExpired, now)
+        val contents = listOfNotNull(held.remove(received.name)?.content, objects.remove(received.name))
+        for (last in contents.ifEmpty { listOf(received) }) remember(last, received.revision, mayHaveExpired, now)
         return Reception.TAKEN
     }
 
@@ -110,23 +113,42 @@
     /** Puts the contents into effect that the store still has although they were held for long; returns them. */
     fun takeHeld(now: MonotonicTime): List<StoreObject> {
         forgetRemovals(now)
-        val due = held.values.filter { now - it.since >= holdTime() }.map { it.content }
+        val due = held.values.filter { isDue(it, now) }.map { it.content }
         due.forEach(::put)
         return due
     }
 
+    private fun isDue(item: Held, now: MonotonicTime): Boolean {
+        // Several late writes of a writer that has left can renew its content one after the other.
+        val removal = removed[item.content.name]?.firstOrNull { lifetimeOf(it.last) == lifetimeOf(item.content) }
+        val heldFrom = if (removal == null) item.since else maxOf(item.since, removal.at + LATE_WRITE_LIMIT)
+        return now - heldFrom >= holdTime()
+    }
+
     /** Returns the version of the known content of [name], or of its last one if it was removed. */
-    fun versionOrNull(name: String): ContentVersion? = (objects[name] ?: removed[name]?.last)?.let(versionOf)
+    fun versionOrNull(name: String): ContentVersion? =
+        (objects[name] ?: removed[name]?.lastOrNull()?.last)?.let(versionOf)
 
     private fun receive(received: StoreObject, now: MonotonicTime): Reception {
         val known = objects[received.name]
-        val removal = removed[received.name]
-        val order = when {
-            known != null -> compare(received, known)
-            removal != null -> compareWithRemoved(received, removal, now)
-            else -> ContentOrder.NEWER
-        }
+        val removals = removed[received.name].orEmpty()
         val heldBefore = held.remove(received.name)
+        // A listing shows a content again that arrived earlier.
+        val arrivedAt = heldBefore?.takeIf { it.content.revision == received.revision }?.since ?: now
+        val orders =
+            if (known != null) {
+                listOf(compare(received, known))
+            } else {
+                removals.map { compareWithRemoved(received, it, arrivedAt) }
+            }
+        val order = orders.firstOrNull { it == ContentOrder.OLDER || it == ContentOrder.SAME }
+            ?: orders.firstOrNull { it == ContentOrder.UNCLEAR }
+            ?: ContentOrder.NEWER
+        // A lifetime whose end is held does not go on.
+        if (heldBefore != null && compare(received, heldBefore.content) == ContentOrder.OLDER) {
+            held[received.name] = heldBefore
+            return Reception.DROPPED
+        }
         return when {
             order == ContentOrder.NEWER -> Reception.TAKEN.also { put(received) }
 
@@ -139,7 +161,9 @@
 
     /** Further reports of one writer do not start its time again. */
     private fun heldSince(received: StoreObject, before: Held?): MonotonicTime? =
-        before?.takeIf { versionOf(it.content)?.lifetime == versionOf(received)?.lifetime }?.since
+        before?.takeIf { lifetimeOf(it.content) == lifetimeOf(received) }?.since
+
+    private fun lifetimeOf(item: StoreObject): Long? = versionOf(item)?.lifetime
 
     private fun compare(received: StoreObject, known: StoreObject): ContentOrder {
         val version = versionOf(received)
@@ -165,40 +189,42 @@
         }
     }
 
-    private fun compareWithRemoved(received: StoreObject, removal: Removal, now: MonotonicTime): ContentOrder {
+    private fun compareWithRemoved(received: StoreObject, removal: Removal, arrivedAt: MonotonicTime): ContentOrder {
         val last = removal.last
         val version = versionOf(received)
         val lastVersion = versionOf(last)
         val order = compare(received, last)
         val isSameLifetime = version != null && version.lifetime == lastVersion?.lifetime
         if (order != ContentOrder.NEWER || !isSameLifetime) return order
+        if (version.endsLifetime) return ContentOrder.NEWER
         // The last content itself is no sign of a live writer.
         if (version.sequence == lastVersion.sequence) return ContentOrder.UNCLEAR
         // A writer that lives writes again after its object expired. One that has left may have a write that is late.
         val mayBeLate = received.revision.era == last.revision.era &&
             !removal.mayHaveExpired &&
-            now - removal.at < LATE_WRITE_LIMIT
+            arrivedAt - removal.at < LATE_WRITE_LIMIT
         return if (mayBeLate) ContentOrder.UNCLEAR else ContentOrder.NEWER
     }
 
     private fun put(item: StoreObject) {
         objects[item.name] = item
-        removed.remove(item.name)
+        removed[item.name]?.removeIf { lifetimeOf(it.last) == lifetimeOf(item) }
         held.remove(item.name)
     }
 
-    /** Returns the newer one of the content of a removed object that was not in effect, and of its last known one. */
-    private fun lastRemoved(received: StoreObject): StoreObject {
-        val last = removed[received.name]?.last ?: return received
-        return if (compare(received, last) == ContentOrder.NEWER) received else last
-    }
-
     private fun remember(item: StoreObject, revision: StoreRevision, mayHaveExpired: Boolean, now: MonotonicTime) {
-        removed[item.name] = Removal(item.copy(revision = revision), mayHaveExpired, now)
+        val removals = removed.getOrPut(item.name) { ArrayList() }
+        val before = removals.firstOrNull { lifetimeOf(it.last) == lifetimeOf(item) }
+        removals.remove(before)
+        // A late report that was held and then expired is not the last one of its lifetime.
+        val last = before?.last?.takeIf { compare(item, it) != ContentOrder.NEWER } ?: item
+        removals.add(Removal(last.copy(revision = revision), mayHaveExpired, now))
     }
 
     private fun forgetRemovals(now: MonotonicTime) {
-        if (removed.isNotEmpty()) removed.values.removeIf { now - it.at >= REMOVAL_MEMORY }
+        if (removed.isEmpty()) return
+        for (removals in removed.values) removals.removeIf { now - it.at >= REMOVAL_MEMORY }
+        removed.values.removeIf { it.isEmpty() }
     }
 
     private companion object {
@@ -206,6 +232,6 @@
         val REMOVAL_MEMORY: Duration = 60.seconds
 
         /** The store performs a write without a response some seconds late at most. */
-        val LATE_WRITE_LIMIT: Duration = 10.seconds
+        val LATE_WRITE_LIMIT: Duration = 7.seconds
     }
 }
