--- a/daemon/src/main/kotlin/org/anvilshed/daemon/metrics/DaemonMetrics.kt
+++ b/daemon/src/main/kotlin/org/anvilshed/daemon/metrics/DaemonMetrics.kt
@@ -72,10 +72,10 @@
 
     fun recordPlatformFailure(): Unit = platformFailures.inc()
 
-    /** Records that a connection was closed because [server] wrote bytes outside a response. */
     /** Records an unexpected exception in the work of a request, or in work that was started again. */
     fun recordUnexpectedFault(): Unit = unexpectedFaults.inc()
 
+    /** Records that a connection was closed because [server] wrote bytes outside a response. */
     fun recordStrayBytes(server: String): Unit = strayBytes.labelValues(server).inc()
 
     /** Registers a gauge; [value] is called at each scrape. */
--- a/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
+++ b/gateway/src/main/kotlin/org/anvilshed/gateway/store/StoreFeed.kt
@@ -199,6 +199,15 @@
             }
             reception == Reception.TAKEN
         }
+        if (events.size < changes.events.size) {
+            log.info(
+                "feed-events-dropped",
+                "kind" to kind,
+                "count" to changes.events.size - events.size,
+                "revision" to changes.revision,
+                "known" to changedRevision,
+            )
+        }
         changedRevision = maxOf(changedRevision, changes.revision)
         if (events.isNotEmpty()) listener.changed(events, continuity())
     }
